--- /dev/null
+++ b/src/decision/proxy/AdmissionController.cpp
@@ -0,0 +1,322 @@
+#include "decision/proxy/AdmissionController.h"
+
+#include <algorithm>
+
+namespace almondpier {
+
+using std::chrono::milliseconds;
+
+// Bounds the memory that held requests take (64 KiB each at most).
+static constexpr size_t kMaxHeld = 5'000;
+static constexpr uint32_t kHeldRetryMs = 500;
+// Owners roll a transaction back after 10 s without a statement.
+static constexpr Duration kTransactionIdle = milliseconds(10'000);
+
+AdmissionController::AdmissionController(const std::string &FleetSecret,
+                                         const ProxyBlackboard &Board,
+                                         TokenController &Tokens,
+                                         ForwardingController &Forwarding,
+                                         ProxyActions &Actions)
+    : m_Board(Board), m_Tokens(Tokens), m_Forwarding(Forwarding),
+      m_Actions(Actions), m_SessionCodec(FleetSecret),
+      m_TransactionCodec(FleetSecret) {}
+
+static bool isTransactionStep(RequestKind Kind) {
+  return Kind == RequestKind::Execute || Kind == RequestKind::Commit ||
+         Kind == RequestKind::Rollback;
+}
+
+void AdmissionController::submit(const CallerRequest &Request, Time Now) {
+  ++m_Arrived;
+  if (m_RefusesNewWork && !isTransactionStep(Request.m_Kind)) {
+    refuse(Request.m_Id, ErrorReport{ErrorKind::ShuttingDown,
+                                     "this host is shutting down", Ran::No, 0});
+    return;
+  }
+  Call &Added = m_Calls[Request.m_Id.m_Value];
+  Added.m_Request = Request;
+  Added.m_Deadline = Now + milliseconds(Request.m_TimeoutMs);
+  advance(Added, false, Now);
+}
+
+void AdmissionController::cancel(CallerRequestId Id, Time Now) {
+  auto Found = m_Calls.find(Id.m_Value);
+  if (Found == m_Calls.end())
+    return;
+  ++m_CallersGone;
+  Call &Call = Found->second;
+  if (Call.m_Stage == Stage::Forwarded)
+    m_Forwarding.cancel(Id, Now);
+  if (Call.m_Stage == Stage::WaitingForToken)
+    m_Tokens.stopWaiting(Call.m_Organisation, Id);
+  if (Call.m_Stage == Stage::Held)
+    std::erase(m_Held, Id);
+  m_Calls.erase(Found);
+}
+
+std::optional<ErrorReport> AdmissionController::check(Call &Call) const {
+  const CallerRequest &Request = Call.m_Request;
+  const Configuration &Config = m_Board.m_Configuration;
+  const std::pair<const KeyId, KeyRecord> *Key =
+      Request.m_Key ? Config.findKey(*Request.m_Key) : nullptr;
+  if (Key == nullptr)
+    return ErrorReport{ErrorKind::UnknownKey,
+                       Request.m_Key ? "the key is unknown or revoked"
+                                     : "the request has no key",
+                       Ran::No, 0};
+  Call.m_Key = Key->first;
+  Call.m_Organisation = Key->second.m_Organisation;
+  if (Config.findDatabase(Request.m_Database) == nullptr)
+    return ErrorReport{ErrorKind::UnknownDatabase,
+                       "there is no database of this name", Ran::No, 0};
+  bool NeedsIdempotencyKey = Request.m_Kind == RequestKind::Outcome;
+  if ((NeedsIdempotencyKey || !Request.m_IdempotencyKey.empty()) &&
+      !isValidName(Request.m_IdempotencyKey))
+    return ErrorReport{ErrorKind::BadRequest,
+                       "an Idempotency-Key has 1 to 64 characters out of "
+                       "a-z, A-Z, 0-9, '.', '_' and '-'",
+                       Ran::No, 0};
+  if (isTransactionStep(Request.m_Kind))
+    return checkTransaction(Call);
+  return std::nullopt;
+}
+
+std::optional<ErrorReport>
+AdmissionController::checkTransaction(Call &Call) const {
+  std::optional<TransactionBinding> Binding =
+      m_TransactionCodec.open(Call.m_Request.m_Transaction);
+  if (!Binding || Binding->m_Database != Call.m_Request.m_Database)
+    return ErrorReport{ErrorKind::UnknownTransaction,
+                       "there is no such transaction in this database", Ran::No,
+                       0};
+  if (Binding->m_Organisation != Call.m_Organisation ||
+      Binding->m_Key != Call.m_Key)
+    return ErrorReport{ErrorKind::ForeignTransaction,
+                       "the transaction was begun with another key", Ran::No,
+                       0};
+  Call.m_Transaction = Binding->m_Transaction;
+  return std::nullopt;
+}
+
+void AdmissionController::openSession(Call &Call) const {
+  std::optional<Session> Opened =
+      m_SessionCodec.open(Call.m_Request.m_SessionToken, Call.m_Organisation);
+  Call.m_HasValidSession = Opened.has_value();
+  Call.m_Session = Opened ? std::move(*Opened)
+                          : Session::withUnknownPast(Call.m_Organisation);
+}
+
+void AdmissionController::advance(Call &Call, bool IsWaiter, Time Now) {
+  CallerRequestId Id = Call.m_Request.m_Id;
+  if (!isFresh(m_Board, Now)) {
+    hold(Call, Now);
+    return;
+  }
+  // Checked again after every wait: the key may have been revoked meanwhile.
+  if (std::optional<ErrorReport> Error = check(Call)) {
+    refuse(Id, *Error);
+    return;
+  }
+  bool HasToken = IsWaiter ? m_Tokens.takeForWaiter(Call.m_Organisation, Now)
+                           : m_Tokens.take(Call.m_Organisation, Now);
+  if (HasToken) {
+    forward(Call, Now);
+    return;
+  }
+  Call.m_Stage = Stage::WaitingForToken;
+  m_Tokens.wait(Call.m_Organisation, Id, Call.m_Deadline, Now);
+}
+
+void AdmissionController::hold(Call &Call, Time Now) {
+  CallerRequestId Id = Call.m_Request.m_Id;
+  if (m_Held.size() >= kMaxHeld) {
+    refuse(Id, ErrorReport{ErrorKind::Overloaded,
+                           "too many requests wait for a fresh configuration",
+                           Ran::No, kHeldRetryMs});
+    return;
+  }
+  Call.m_Stage = Stage::Held;
+  if (!Call.m_HeldSince)
+    Call.m_HeldSince = Now;
+  ++m_HeldCount;
+  m_Held.push_back(Id);
+}
+
+void AdmissionController::forward(Call &Call, Time Now) {
+  openSession(Call);
+  Call.m_Stage = Stage::Forwarded;
+  if (isTransactionStep(Call.m_Request.m_Kind))
+    m_OpenTransactions[*Call.m_Transaction] = Now;
+  CallerRequestId Id = Call.m_Request.m_Id;
+  m_Forwarding.submit(Id, admitted(Call), Call.m_Deadline, Now);
+}
+
+AdmittedRequest AdmissionController::admitted(Call &Call) const {
+  CallerRequest &Request = Call.m_Request;
+  AdmittedRequest Result;
+  Result.m_Kind = Request.m_Kind;
+  Result.m_Organisation = Call.m_Organisation;
+  Result.m_Key = Call.m_Key;
+  Result.m_Database = Request.m_Database;
+  Result.m_Statement = std::move(Request.m_Statement);
+  Result.m_Transaction = Call.m_Transaction;
+  if (!Request.m_IdempotencyKey.empty())
+    Result.m_RequestId =
+        Call.m_Organisation.m_Value + "/" + Request.m_IdempotencyKey;
+  if (Request.m_Kind != RequestKind::Read)
+    return Result;
+  Result.m_Requirement = Call.m_Session.requirementFor(Request.m_Database);
+  Call.m_NeedsConfirmedPrimary =
+      Result.m_Requirement.m_ConfirmedPrimary && !Request.m_MaxAgeMs;
+  if (Request.m_MaxAgeMs)
+    Result.m_Requirement.m_MaxAgeMs =
+        std::min(*Request.m_MaxAgeMs,
+                 m_Board.m_Configuration.currentPreset().m_MaxReadAgeMs);
+  return Result;
+}
+
+void AdmissionController::refuse(CallerRequestId Id, const ErrorReport &Error) {
+  ++m_Answered;
+  ++m_Errors[Error.m_Kind];
+  ReplyToCaller Reply;
+  Reply.m_Id = Id;
+  Reply.m_Error = Error;
+  m_Actions.push_back(std::move(Reply));
+  m_Calls.erase(Id.m_Value);
+}
+
+std::string
+AdmissionController::sessionTokenAfter(Call &Call,
+                                       const RequestResult &Result) const {
+  const DatabaseName &Database = Call.m_Request.m_Database;
+  RequestKind Kind = Call.m_Request.m_Kind;
+  bool IsDurable = Kind == RequestKind::Write || Kind == RequestKind::Commit ||
+                   Kind == RequestKind::Outcome;
+  bool Changed = !Call.m_HasValidSession;
+  if (Result.m_Error) {
+    bool IsUnknown =
+        Result.m_Error->m_Ran == Ran::Unknown &&
+        (Kind == RequestKind::Write || Kind == RequestKind::Commit);
+    Changed |= IsUnknown && Call.m_Session.recordUnknownWrite(Database);
+  } else if (IsDurable && Result.m_Position.m_Term != 0) {
+    Changed |= Call.m_Session.recordWrite(Database, Result.m_Position);
+  } else if (Kind == RequestKind::Read && Call.m_NeedsConfirmedPrimary) {
+    Changed |= Call.m_Session.recordConfirmedRead(Database, Result.m_Position);
+  }
+  return Changed ? m_SessionCodec.seal(Call.m_Session)
+                 : Call.m_Request.m_SessionToken;
+}
+
+std::string
+AdmissionController::transactionTokenOf(const Call &Call,
+                                        const RequestResult &Result) const {
+  if (Call.m_Request.m_Kind != RequestKind::Begin || Result.m_Error ||
+      !Result.m_Transaction)
+    return {};
+  return m_TransactionCodec.seal(
+      TransactionBinding{*Result.m_Transaction, Call.m_Organisation, Call.m_Key,
+                         Call.m_Request.m_Database});
+}
+
+void AdmissionController::trackTransaction(const Call &Call,
+                                           const RequestResult &Result,
+                                           Time Now) {
+  RequestKind Kind = Call.m_Request.m_Kind;
+  if (Kind == RequestKind::Begin && Result.m_Transaction && !Result.m_Error)
+    m_OpenTransactions[*Result.m_Transaction] = Now;
+  if (!Call.m_Transaction)
+    return;
+  bool StillOpen =
+      Kind == RequestKind::Execute &&
+      (!Result.m_Error || Result.m_Error->m_Kind == ErrorKind::StatementFailed);
+  if (StillOpen)
+    m_OpenTransactions[*Call.m_Transaction] = Now;
+  else
+    m_OpenTransactions.erase(*Call.m_Transaction);
+}
+
+void AdmissionController::finish(const ForwardingController::Finished &Finished,
+                                 Time Now) {
+  auto Found = m_Calls.find(Finished.m_Id.m_Value);
+  if (Found == m_Calls.end())
+    return;
+  Call &Call = Found->second;
+  const RequestResult &Result = Finished.m_Result;
+  trackTransaction(Call, Result, Now);
+  if (Call.m_Request.m_Kind == RequestKind::Read && !Result.m_Error) {
+    ++m_Reads;
+    m_ReplicaReads += Result.m_ServedByReplica ? 1 : 0;
+  }
+  if (Result.m_Error)
+    ++m_Errors[Result.m_Error->m_Kind];
+  ++m_Answered;
+  ReplyToCaller Reply;
+  Reply.m_Id = Finished.m_Id;
+  Reply.m_Error = Result.m_Error;
+  Reply.m_Body = Result.m_Body;
+  Reply.m_SessionToken = sessionTokenAfter(Call, Result);
+  Reply.m_Transaction = transactionTokenOf(Call, Result);
+  Reply.m_ServedByReplica = Result.m_ServedByReplica;
+  Reply.m_Instance = Result.m_Instance;
+  m_Actions.push_back(std::move(Reply));
+  m_Calls.erase(Found);
+}
+
+void AdmissionController::advanceWaiting(Time Now) {
+  if (!m_Held.empty() && isFresh(m_Board, Now)) {
+    std::vector<CallerRequestId> Held;
+    Held.swap(m_Held);
+    for (CallerRequestId Id : Held)
+      advance(m_Calls.at(Id.m_Value), false, Now);
+  }
+  for (CallerRequestId Id : m_Tokens.takeServable(Now))
+    advance(m_Calls.at(Id.m_Value), true, Now);
+}
+
+void AdmissionController::tick(Time Now) {
+  for (const TokenController::Refused &Refused : m_Tokens.takeRefused(Now))
+    refuse(Refused.m_Id, Refused.m_Error);
+  std::vector<CallerRequestId> Expired;
+  std::erase_if(m_Held, [&](CallerRequestId Id) {
+    const Call &Call = m_Calls.at(Id.m_Value);
+    bool IsOver =
+        Now >= Call.m_Deadline || Now - *Call.m_HeldSince >= kFreshnessHold;
+    if (IsOver)
+      Expired.push_back(Id);
+    return IsOver;
+  });
+  for (CallerRequestId Id : Expired)
+    refuse(Id, ErrorReport{ErrorKind::ConfigurationStale,
+                           "this host has no fresh configuration", Ran::No, 0});
+  std::erase_if(m_OpenTransactions, [&](const auto &Entry) {
+    return Now - Entry.second >= kTransactionIdle;
+  });
+}
+
+CounterList AdmissionController::counters() const {
+  CounterList Result{
+      {"almondpier_requests_total", "Requests of callers",
+       static_cast<double>(m_Arrived)},
+      {"almondpier_answers_total", "Answers to callers",
+       static_cast<double>(m_Answered)},
+      {"almondpier_callers_gone_total",
+       "Requests whose caller closed the connection",
+       static_cast<double>(m_CallersGone)},
+      {"almondpier_requests_held_total",
+       "Requests held because the configuration was not fresh",
+       static_cast<double>(m_HeldCount)},
+      {"almondpier_reads_total", "Reads answered without an error",
+       static_cast<double>(m_Reads)},
+      {"almondpier_replica_reads_total", "Reads served by replicas",
+       static_cast<double>(m_ReplicaReads)},
+      {"almondpier_requests_in_progress", "Requests without an answer",
+       static_cast<double>(m_Calls.size())},
+  };
+  for (const auto &[Kind, Count] : m_Errors)
+    Result.push_back(
+        {"almondpier_errors_" + std::string(nameOf(Kind)) + "_total",
+         "Answers with this error", static_cast<double>(Count)});
+  return Result;
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/ConfigurationController.h
@@ -0,0 +1,74 @@
+/// \file
+/// Keeps the configuration up to date and proves its freshness.
+#pragma once
+
+#include "decision/proxy/LinkTable.h"
+
+#include <deque>
+
+namespace almondpier {
+
+struct ProxyOptions;
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+/// Another control host is polled after so long without an answer.
+constexpr Duration kPollTimeout = std::chrono::milliseconds(500);
+
+class ConfigurationController {
+public:
+  ConfigurationController(const ProxyOptions &Options, ProxyBlackboard &Board,
+                          LinkTable &Links, ProxyActions &Actions);
+
+  void tick(Time Now);
+  void onReply(LinkId Link, const PollReply &Reply, Time Now);
+  /// Returns whether the configuration or the live hosts changed since the
+  /// last call.
+  bool takeChanged();
+  /// Peer endpoints of all control hosts.
+  const std::vector<Endpoint> &controlPeers() const { return m_Peers; }
+  /// The control host that leads, when known.
+  std::optional<Endpoint> leader() const { return m_Leader; }
+
+  uint64_t pollsSent() const { return m_Sequence; }
+  uint64_t hostChanges() const { return m_HostChanges; }
+
+private:
+  struct Poll {
+    uint64_t m_Sequence = 0;
+    Time m_SentAt;
+    uint64_t m_BaseIndex = 0;
+  };
+
+  const Endpoint &current() const { return m_Peers[m_Current]; }
+  void changeHost(Time Now);
+  void sendPoll(LinkId Link, Time Now);
+  void learnMembers(const PollReply &Reply);
+  void learnLiveHosts(const PollReply &Reply);
+  /// Each returns whether the configuration now holds what the reply proves.
+  bool applySnapshot(const PollReply &Reply);
+  bool applyChanges(const Poll &Answered, const PollReply &Reply);
+
+  HostRecord m_Host;
+  uint64_t m_Incarnation;
+  ProxyBlackboard &m_Board;
+  LinkTable &m_Links;
+  ProxyActions &m_Actions;
+  std::vector<Endpoint> m_Peers;
+  size_t m_Current = 0;
+  std::optional<LinkId> m_PolledLink;
+  /// Since when an answer is due.
+  std::optional<Time> m_WaitingSince;
+  Time m_LastPoll;
+  Time m_LastHostChange;
+  std::deque<Poll> m_Outstanding;
+  uint64_t m_Sequence = 0;
+  std::string m_SnapshotPart;
+  uint64_t m_SnapshotSequence = 0;
+  std::optional<Endpoint> m_Leader;
+  /// Set when a change did not apply: the next poll asks for a snapshot.
+  bool m_NeedsSnapshot = false;
+  bool m_Changed = false;
+  uint64_t m_HostChanges = 0;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/LinkTable.cpp
@@ -0,0 +1,214 @@
+#include "decision/proxy/LinkTable.h"
+
+#include <algorithm>
+
+namespace almondpier {
+
+static constexpr Duration kFirstBackoff = std::chrono::milliseconds(50);
+static constexpr Duration kMaxBackoff = std::chrono::milliseconds(1'000);
+// The opener gives a link up after 400 ms; the acceptor waits longer, so that
+// it does not cut off a peer that is only slow.
+static constexpr Duration kAcceptedSilenceLimit =
+    std::chrono::milliseconds(2'000);
+static constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
+
+void LinkTable::want(const Endpoint &Peer, LinkUse Use, Time Now) {
+  Outgoing &Entry = m_Outgoing[Peer];
+  bool IsNew = Entry.m_Uses == 0;
+  Entry.m_Uses |= static_cast<uint8_t>(Use);
+  if (IsNew)
+    open(Peer, Entry, Now);
+}
+
+void LinkTable::release(const Endpoint &Peer, LinkUse Use) {
+  auto Found = m_Outgoing.find(Peer);
+  if (Found == m_Outgoing.end())
+    return;
+  Outgoing &Entry = Found->second;
+  Entry.m_Uses &= static_cast<uint8_t>(~static_cast<unsigned>(Use));
+  if (Entry.m_Uses != 0)
+    return;
+  if (Entry.m_IsOpen) {
+    m_Actions.push_back(CloseLink{Entry.m_Link});
+    m_Lost.push_back(Entry.m_Link);
+    m_PeerByLink.erase(Entry.m_Link.m_Value);
+  }
+  m_Outgoing.erase(Found);
+}
+
+void LinkTable::keepOnly(const std::set<Endpoint> &Kept, LinkUse Use) {
+  std::vector<Endpoint> Released;
+  for (const auto &[Peer, Entry] : m_Outgoing)
+    if ((Entry.m_Uses & static_cast<uint8_t>(Use)) != 0 && !Kept.contains(Peer))
+      Released.push_back(Peer);
+  for (const Endpoint &Peer : Released)
+    release(Peer, Use);
+}
+
+void LinkTable::open(const Endpoint &Peer, Outgoing &Entry, Time Now) {
+  m_LastOdd = m_LastOdd == 0 ? 1 : m_LastOdd + 2;
+  Entry.m_Link = LinkId{m_LastOdd};
+  Entry.m_IsOpen = true;
+  Entry.m_ChangedAt = Now;
+  m_PeerByLink[Entry.m_Link.m_Value] = Peer;
+  m_Actions.push_back(OpenLink{Entry.m_Link, Peer});
+}
+
+void LinkTable::drop(Outgoing &Entry, Time Now, bool CloseIt) {
+  if (!Entry.m_IsOpen)
+    return;
+  if (CloseIt)
+    m_Actions.push_back(CloseLink{Entry.m_Link});
+  if (Entry.m_State == LinkState::Up)
+    ++m_LostCount;
+  m_Lost.push_back(Entry.m_Link);
+  m_PeerByLink.erase(Entry.m_Link.m_Value);
+  Entry.m_IsOpen = false;
+  Entry.m_State = LinkState::Down;
+  Entry.m_Backoff = Entry.m_Backoff == Duration::zero()
+                        ? kFirstBackoff
+                        : std::min(Entry.m_Backoff * 2, kMaxBackoff);
+  Entry.m_RetryAt = Now + Entry.m_Backoff;
+}
+
+LinkState LinkTable::stateOf(const Endpoint &Peer) const {
+  auto Found = m_Outgoing.find(Peer);
+  return Found == m_Outgoing.end() ? LinkState::Down : Found->second.m_State;
+}
+
+std::optional<LinkId> LinkTable::linkTo(const Endpoint &Peer) const {
+  auto Found = m_Outgoing.find(Peer);
+  if (Found == m_Outgoing.end() || Found->second.m_State != LinkState::Up)
+    return std::nullopt;
+  return Found->second.m_Link;
+}
+
+bool LinkTable::isOpen(LinkId Link) const {
+  if (isAccepted(Link))
+    return m_Accepted.contains(Link.m_Value);
+  return m_PeerByLink.contains(Link.m_Value);
+}
+
+void LinkTable::reconnect(const Endpoint &Peer, Time Now) {
+  auto Found = m_Outgoing.find(Peer);
+  if (Found != m_Outgoing.end())
+    drop(Found->second, Now, true);
+}
+
+void LinkTable::onOpened(LinkId Link, Time Now) {
+  if (isAccepted(Link)) {
+    m_Accepted[Link.m_Value] = Accepted{Now};
+    return;
+  }
+  auto Peer = m_PeerByLink.find(Link.m_Value);
+  if (Peer == m_PeerByLink.end())
+    return;
+  Outgoing &Entry = m_Outgoing.at(Peer->second);
+  Entry.m_State = LinkState::Up;
+  Entry.m_ChangedAt = Now;
+  Entry.m_LastInput = Now;
+  Entry.m_Backoff = Duration::zero();
+}
+
+void LinkTable::onClosed(LinkId Link, Time Now) {
+  if (isAccepted(Link)) {
+    if (m_Accepted.erase(Link.m_Value) != 0)
+      m_Lost.push_back(Link);
+    return;
+  }
+  auto Peer = m_PeerByLink.find(Link.m_Value);
+  if (Peer != m_PeerByLink.end())
+    drop(m_Outgoing.at(Peer->second), Now, false);
+}
+
+void LinkTable::onInput(LinkId Link, Time Now) {
+  if (isAccepted(Link)) {
+    auto Found = m_Accepted.find(Link.m_Value);
+    if (Found != m_Accepted.end())
+      Found->second.m_LastInput = Now;
+    return;
+  }
+  auto Peer = m_PeerByLink.find(Link.m_Value);
+  if (Peer != m_PeerByLink.end())
+    m_Outgoing.at(Peer->second).m_LastInput = Now;
+}
+
+void LinkTable::onResumed(Time Now) {
+  for (const auto &[Link, Entry] : m_Accepted) {
+    m_Actions.push_back(CloseLink{LinkId{Link}});
+    m_Lost.push_back(LinkId{Link});
+  }
+  m_Accepted.clear();
+  for (auto &[Peer, Entry] : m_Outgoing) {
+    drop(Entry, Now, true);
+    // The peers have not failed, so they are tried again at once.
+    Entry.m_Backoff = Duration::zero();
+    Entry.m_State = LinkState::Connecting;
+    open(Peer, Entry, Now);
+  }
+}
+
+void LinkTable::watch(const Endpoint &Peer, Outgoing &Entry, Time Now) {
+  if (!Entry.m_IsOpen) {
+    if (Now >= Entry.m_RetryAt)
+      open(Peer, Entry, Now);
+    return;
+  }
+  if (Entry.m_State != LinkState::Up) {
+    if (Now - Entry.m_ChangedAt >= kLinkSilenceLimit)
+      drop(Entry, Now, true);
+    return;
+  }
+  // Control hosts are judged by their answers to polls and token requests.
+  bool IsBetweenProxies =
+      Entry.m_Uses == static_cast<uint8_t>(LinkUse::Forward);
+  if (IsBetweenProxies && Now - Entry.m_LastInput >= kLinkSilenceLimit)
+    drop(Entry, Now, true);
+}
+
+void LinkTable::closeSilentAccepted(Time Now) {
+  for (auto Entry = m_Accepted.begin(); Entry != m_Accepted.end();) {
+    if (Now - Entry->second.m_LastInput < kAcceptedSilenceLimit) {
+      ++Entry;
+      continue;
+    }
+    m_Actions.push_back(CloseLink{LinkId{Entry->first}});
+    m_Lost.push_back(LinkId{Entry->first});
+    Entry = m_Accepted.erase(Entry);
+  }
+}
+
+void LinkTable::sendPings(Time Now) {
+  m_LastPing = Now;
+  for (const auto &[Peer, Entry] : m_Outgoing)
+    if (Entry.m_State == LinkState::Up)
+      m_Actions.push_back(SendMessage{Entry.m_Link, Ping()});
+  for (const auto &[Link, Entry] : m_Accepted)
+    m_Actions.push_back(SendMessage{LinkId{Link}, Ping()});
+}
+
+void LinkTable::tick(Time Now) {
+  if (Now - m_LastWatch < kWatchInterval)
+    return;
+  m_LastWatch = Now;
+  for (auto &[Peer, Entry] : m_Outgoing)
+    watch(Peer, Entry, Now);
+  closeSilentAccepted(Now);
+  if (Now - m_LastPing >= kPingInterval)
+    sendPings(Now);
+}
+
+std::vector<LinkId> LinkTable::takeLost() {
+  std::vector<LinkId> Lost;
+  Lost.swap(m_Lost);
+  return Lost;
+}
+
+size_t LinkTable::upCount() const {
+  return static_cast<size_t>(
+      std::count_if(m_Outgoing.begin(), m_Outgoing.end(), [](const auto &Item) {
+        return Item.second.m_State == LinkState::Up;
+      }));
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/LinkTable.h
@@ -0,0 +1,82 @@
+/// \file
+/// Links to other processes: which are wanted, which are up, and which peers
+/// have gone silent.
+#pragma once
+
+#include "decision/proxy/ProxyEvents.h"
+
+#include <unordered_map>
+
+namespace almondpier {
+
+/// What a link that this host opens is wanted for.
+enum class LinkUse : uint8_t { Poll = 1, Tokens = 2, Forward = 4 };
+
+/// Connecting: the first attempt since the peer was last known to be up.
+enum class LinkState : uint8_t { Connecting, Up, Down };
+
+constexpr Duration kPingInterval = std::chrono::milliseconds(100);
+/// A link between proxies without input for so long is down.
+constexpr Duration kLinkSilenceLimit = std::chrono::milliseconds(400);
+
+class LinkTable {
+public:
+  explicit LinkTable(ProxyActions &Actions) : m_Actions(Actions) {}
+
+  /// Keeps a link to Peer open until the use is released.
+  void want(const Endpoint &Peer, LinkUse Use, Time Now);
+  void release(const Endpoint &Peer, LinkUse Use);
+  /// Releases a use of all peers that are not in Kept.
+  void keepOnly(const std::set<Endpoint> &Kept, LinkUse Use);
+  LinkState stateOf(const Endpoint &Peer) const;
+  /// The link to Peer while it is up.
+  std::optional<LinkId> linkTo(const Endpoint &Peer) const;
+  bool isOpen(LinkId Link) const;
+  bool isAccepted(LinkId Link) const { return Link.m_Value % 2 == 0; }
+  /// Closes a link whose peer does not answer and connects again later.
+  void reconnect(const Endpoint &Peer, Time Now);
+
+  void onOpened(LinkId Link, Time Now);
+  void onClosed(LinkId Link, Time Now);
+  void onInput(LinkId Link, Time Now);
+  /// Closes every link: what arrives on them may be as old as the suspension.
+  void onResumed(Time Now);
+  void tick(Time Now);
+  /// Links that ended since the last call.
+  std::vector<LinkId> takeLost();
+  size_t upCount() const;
+  uint64_t lostCount() const { return m_LostCount; }
+
+private:
+  struct Outgoing {
+    LinkId m_Link;
+    LinkState m_State = LinkState::Connecting;
+    uint8_t m_Uses = 0;
+    bool m_IsOpen = false;
+    Time m_ChangedAt;
+    Time m_LastInput;
+    Time m_RetryAt;
+    Duration m_Backoff{};
+  };
+  struct Accepted {
+    Time m_LastInput;
+  };
+
+  void open(const Endpoint &Peer, Outgoing &Entry, Time Now);
+  void drop(Outgoing &Entry, Time Now, bool CloseIt);
+  void watch(const Endpoint &Peer, Outgoing &Entry, Time Now);
+  void sendPings(Time Now);
+  void closeSilentAccepted(Time Now);
+
+  ProxyActions &m_Actions;
+  std::map<Endpoint, Outgoing> m_Outgoing;
+  std::unordered_map<uint64_t, Endpoint> m_PeerByLink;
+  std::unordered_map<uint64_t, Accepted> m_Accepted;
+  std::vector<LinkId> m_Lost;
+  uint64_t m_LastOdd = 0;
+  uint64_t m_LostCount = 0;
+  Time m_LastPing;
+  Time m_LastWatch;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/ProxyCore.cpp
@@ -0,0 +1,282 @@
+#include "decision/proxy/ProxyCore.h"
+
+#include "decision/proxy/AdmissionController.h"
+#include "decision/proxy/ConfigurationController.h"
+#include "decision/proxy/HeartbeatController.h"
+#include "decision/proxy/ShutdownController.h"
+
+namespace almondpier {
+
+// Peers take this host for lost after as long without a message.
+static constexpr Duration kSuspensionLimit = kLinkSilenceLimit;
+// Up to this number of hosts, links to all of them are opened ahead of need.
+static constexpr size_t kMaxEagerHosts = 64;
+
+struct ProxyCore::State {
+  ProxyOptions m_Options;
+  ProxyBlackboard m_Board;
+  /// Where the controllers put their actions.
+  ProxyActions m_Actions;
+  LinkTable m_Links{m_Actions};
+  ConfigurationController m_Configuration;
+  HeartbeatController m_Heartbeat;
+  OwnershipController m_Ownership;
+  OwnerController m_Owner;
+  TokenController m_Tokens;
+  ForwardingController m_Forwarding;
+  AdmissionController m_Admission;
+  ShutdownController m_Shutdown{m_Board, m_Actions};
+  Time m_LastHandled;
+  bool m_WasReady = false;
+  bool m_WasFresh = false;
+  uint64_t m_SuspensionCount = 0;
+  uint64_t m_UnexpectedCount = 0;
+
+  State(const ProxyOptions &Options, Time Now)
+      : m_Options(Options),
+        m_Configuration(Options, m_Board, m_Links, m_Actions),
+        m_Heartbeat(Options.m_Host.m_Name, m_Board, m_Actions),
+        m_Ownership(Options.m_Host, m_Board),
+        m_Owner(OwnerOptions{Options.m_Host.m_Name, Options.m_Host.m_Zone,
+                             Options.m_Incarnation},
+                m_Board),
+        m_Tokens(Options.m_Host.m_Name, m_Links, m_Actions),
+        m_Forwarding(Options.m_Host.m_Name, m_Board, m_Ownership, m_Links,
+                     m_Owner, m_Actions),
+        m_Admission(Options.m_FleetSecret, m_Board, m_Tokens, m_Forwarding,
+                    m_Actions),
+        m_LastHandled(Now) {}
+
+  bool isReady(Time Now) const {
+    // Requests are refused once they were held as long as allowed.
+    return !m_Shutdown.hasBegun() && m_Board.m_FreshAt &&
+           Now - *m_Board.m_FreshAt <= kFreshnessLimit + kFreshnessHold;
+  }
+
+  void operator()(const CallerRequest &Event, Time Now) {
+    m_Admission.submit(Event, Now);
+  }
+  void operator()(const CallerGone &Event, Time Now) {
+    m_Admission.cancel(Event.m_Id, Now);
+  }
+  void operator()(const LinkOpened &Event, Time Now) {
+    m_Links.onOpened(Event.m_Link, Now);
+    m_Configuration.tick(Now);
+    m_Tokens.askAtOnce(Now);
+    m_Forwarding.routeWaiting(Now);
+  }
+  void operator()(const LinkClosed &Event, Time Now) {
+    m_Links.onClosed(Event.m_Link, Now);
+  }
+  void operator()(const InstanceAnswered &Event, Time Now) {
+    m_Owner.handle(Event, Now);
+  }
+  void operator()(const ConnectionClosed &Event, Time Now) {
+    m_Owner.handle(Event, Now);
+  }
+  void operator()(const ProbeAnswered &Event, Time Now) {
+    m_Owner.handle(Event, Now);
+  }
+  void operator()(const ShutdownRequested & /*Event*/, Time Now) {
+    m_Shutdown.begin(Now);
+  }
+
+  void operator()(const MessageReceived &Event, Time Now) {
+    // Links that this host closed may still deliver what was on the way.
+    if (!m_Links.isOpen(Event.m_Link))
+      return;
+    m_Links.onInput(Event.m_Link, Now);
+    const Message &Received = Event.m_Message;
+    if (const PollReply *Reply = std::get_if<PollReply>(&Received))
+      onPollReply(Event.m_Link, *Reply, Now);
+    else if (const TokenGrant *Grant = std::get_if<TokenGrant>(&Received))
+      m_Tokens.onGrant(Event.m_Link, *Grant, Now);
+    else if (const ForwardRequest *Request =
+                 std::get_if<ForwardRequest>(&Received))
+      m_Forwarding.onRequest(Event.m_Link, *Request, Now);
+    else if (const ForwardReply *Answer = std::get_if<ForwardReply>(&Received))
+      m_Forwarding.onReply(Event.m_Link, *Answer, Now);
+    else if (const ForwardCancel *Cancel =
+                 std::get_if<ForwardCancel>(&Received))
+      m_Forwarding.onCancel(Event.m_Link, *Cancel, Now);
+    else if (!std::holds_alternative<Ping>(Received))
+      ++m_UnexpectedCount;
+  }
+
+  void operator()(const Tick & /*Event*/, Time Now) {
+    m_Links.tick(Now);
+    m_Configuration.tick(Now);
+    m_Tokens.tick(Now);
+    m_Owner.tick(Now);
+    m_Forwarding.setReady(isReady(Now), !m_Shutdown.refusesNewWork(Now));
+    m_Forwarding.tick(Now);
+    m_Admission.tick(Now);
+    m_Heartbeat.tick(m_Configuration.controlPeers(), isReady(Now), Now);
+    reportChanges(Now);
+    endWhenDone(Now);
+  }
+
+  void onPollReply(LinkId Link, const PollReply &Reply, Time Now) {
+    m_Configuration.onReply(Link, Reply, Now);
+    m_Tokens.setLeader(m_Configuration.leader(), Now);
+    m_Forwarding.setReady(isReady(Now), !m_Shutdown.refusesNewWork(Now));
+    if (!m_Configuration.takeChanged())
+      return;
+    m_Ownership.update();
+    wantForwardLinks(Now);
+    m_Owner.onConfigurationChanged(Now);
+    m_Forwarding.routeWaiting(Now);
+  }
+
+  void wantForwardLinks(Time Now) {
+    std::set<Endpoint> Known;
+    for (const auto &[Name, Record] : m_Board.m_Configuration.hosts())
+      Known.insert(Record.m_Forward);
+    m_Links.keepOnly(Known, LinkUse::Forward);
+    const std::vector<LiveHost> &Live = m_Board.m_LiveHosts.m_Hosts;
+    if (Live.size() > kMaxEagerHosts)
+      return;
+    for (const LiveHost &Host : Live)
+      if (const HostRecord *Record = m_Ownership.recordOf(Host.m_Host);
+          Record != nullptr && Host.m_Host != m_Options.m_Host.m_Name)
+        m_Links.want(Record->m_Forward, LinkUse::Forward, Now);
+  }
+
+  void reportChanges(Time Now) {
+    bool IsFreshNow = isFresh(m_Board, Now);
+    if (IsFreshNow != m_WasFresh)
+      m_Actions.push_back(ReportStateChange{
+          IsFreshNow ? "the configuration is fresh"
+                     : "the configuration is not fresh: no control host proved "
+                       "it within 1.5 s"});
+    m_WasFresh = IsFreshNow;
+    bool IsReadyNow = isReady(Now);
+    if (IsReadyNow != m_WasReady)
+      m_Actions.push_back(
+          ReportStateChange{IsReadyNow ? "ready" : "not ready"});
+    m_WasReady = IsReadyNow;
+  }
+
+  void endWhenDone(Time Now) {
+    if (m_Shutdown.refusesNewWork(Now))
+      m_Admission.refuseNewWork();
+    size_t Work = m_Admission.inProgress() + m_Admission.openTransactions() +
+                  m_Forwarding.inProgress() + m_Owner.workInProgress();
+    if (!m_Shutdown.tick(Work, Now))
+      return;
+    m_Tokens.returnAll(Now);
+    m_Actions.push_back(ShutdownComplete{});
+  }
+
+  void checkSuspension(Time Now) {
+    if (Now - m_LastHandled >= kSuspensionLimit) {
+      ++m_SuspensionCount;
+      m_Links.onResumed(Now);
+      m_Actions.push_back(ReportStateChange{
+          "the process did not run for " +
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Now - m_LastHandled)
+                             .count()) +
+          " ms; all links are opened anew"});
+      endLostLinks(Now);
+    }
+    m_LastHandled = Now;
+  }
+
+  void endLostLinks(Time Now) {
+    for (LinkId Link : m_Links.takeLost()) {
+      m_Tokens.onLinkLost(Link);
+      m_Forwarding.onLinkLost(Link, Now);
+    }
+  }
+
+  /// Moves results between the controllers until nothing is left to move.
+  void settle(Time Now) {
+    endLostLinks(Now);
+    m_Admission.advanceWaiting(Now);
+    bool HasMoved = true;
+    while (HasMoved) {
+      HasMoved = false;
+      for (const CompletedRequest &Completed : m_Owner.takeCompleted()) {
+        HasMoved = true;
+        m_Forwarding.onCompleted(Completed);
+      }
+      for (const ForwardingController::Finished &Finished :
+           m_Forwarding.takeFinished()) {
+        HasMoved = true;
+        m_Admission.finish(Finished, Now);
+      }
+    }
+    for (ProxyAction &Action : m_Owner.takeActions())
+      m_Actions.push_back(std::move(Action));
+  }
+};
+
+ProxyCore::ProxyCore(const ProxyOptions &Options, Time Now)
+    : m_State(std::make_unique<State>(Options, Now)) {}
+ProxyCore::~ProxyCore() = default;
+
+void ProxyCore::handle(const ProxyEvent &Event, Time Now,
+                       ProxyActions &Actions) {
+  m_State->checkSuspension(Now);
+  std::visit([&](const auto &Typed) { (*m_State)(Typed, Now); }, Event);
+  m_State->settle(Now);
+  if (Actions.empty()) {
+    Actions.swap(m_State->m_Actions);
+    return;
+  }
+  for (ProxyAction &Action : m_State->m_Actions)
+    Actions.push_back(std::move(Action));
+  m_State->m_Actions.clear();
+}
+
+bool ProxyCore::isReady(Time Now) const { return m_State->isReady(Now); }
+
+const ProxyBlackboard &ProxyCore::blackboard() const {
+  return m_State->m_Board;
+}
+
+CounterList ProxyCore::counters() const {
+  const State &Core = *m_State;
+  auto Value = [](uint64_t Count) { return static_cast<double>(Count); };
+  CounterList Result{
+      {"almondpier_configuration_index", "Log index of the configuration",
+       Value(Core.m_Board.m_AppliedIndex)},
+      {"almondpier_configuration_version", "Number of operator changes",
+       Value(Core.m_Board.m_Configuration.version())},
+      {"almondpier_polls_total", "Polls sent to control hosts",
+       Value(Core.m_Configuration.pollsSent())},
+      {"almondpier_control_host_changes_total",
+       "Changes to another control host",
+       Value(Core.m_Configuration.hostChanges())},
+      {"almondpier_heartbeats_total", "Heartbeats sent",
+       Value(Core.m_Heartbeat.sentCount())},
+      {"almondpier_links_up", "Links to other processes that are up",
+       Value(Core.m_Links.upCount())},
+      {"almondpier_links_lost_total", "Links that failed after they were up",
+       Value(Core.m_Links.lostCount())},
+      {"almondpier_tokens_borrowed_total", "Rate tokens lent to this host",
+       Value(Core.m_Tokens.tokensBorrowed())},
+      {"almondpier_tokens_spent_total", "Rate tokens spent on requests",
+       Value(Core.m_Tokens.tokensSpent())},
+      {"almondpier_tokens_returned_total", "Rate tokens returned unused",
+       Value(Core.m_Tokens.tokensReturned())},
+      {"almondpier_tokens_expired_total", "Rate tokens that expired unused",
+       Value(Core.m_Tokens.tokensExpired())},
+      {"almondpier_requests_waiting_for_token",
+       "Requests that wait for a rate token",
+       Value(Core.m_Tokens.waitingCount())},
+      {"almondpier_suspensions_total", "Times the process did not run",
+       Value(Core.m_SuspensionCount)},
+      {"almondpier_unexpected_messages_total",
+       "Messages of a kind that a proxy does not take",
+       Value(Core.m_UnexpectedCount)},
+  };
+  for (CounterList Part :
+       {Core.m_Forwarding.counters(), Core.m_Admission.counters(),
+        Core.m_Owner.counters()})
+    Result.insert(Result.end(), Part.begin(), Part.end());
+  return Result;
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/TokenController.cpp
@@ -0,0 +1,324 @@
+#include "decision/proxy/TokenController.h"
+
+#include "decision/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondpier {
+
+using std::chrono::milliseconds;
+
+// A leader that does not answer a request within this time is connected anew.
+static constexpr Duration kAnswerTimeout = milliseconds(400);
+// While requests wait and the leader has too few tokens, it is asked again at
+// least this often, so that its silence is noticed.
+static constexpr Duration kMaxAskPause = milliseconds(100);
+// The leader is taken to answer while it answered a request this recent.
+static constexpr Duration kRecentAnswer = milliseconds(200);
+// Time for a returned token to reach the leader before it expires there.
+static constexpr Duration kReturnMargin = milliseconds(60);
+static constexpr Duration kUseWindow = milliseconds(100);
+// Tokens are borrowed ahead for the use expected in this time.
+static constexpr double kAheadSeconds = 0.1;
+static constexpr uint32_t kMaxTokensPerAsk = 100'000;
+
+TokenController::TokenController(const HostName &Host, LinkTable &Links,
+                                 ProxyActions &Actions)
+    : m_Host(Host), m_Links(Links), m_Actions(Actions) {}
+
+uint32_t TokenController::available(Account &Account, Time Now) {
+  uint32_t Sum = 0;
+  for (const Loan &Loan : Account.m_Loans)
+    if (Now < Loan.m_ExpiresAt)
+      Sum += Loan.m_Tokens;
+  return Sum;
+}
+
+bool TokenController::spend(Account &Account, Time Now) {
+  expireLoans(Account, Now);
+  if (Account.m_Loans.empty())
+    return false;
+  Loan &Next = Account.m_Loans.front();
+  requireInvariant(Next.m_Tokens > 0 && Now < Next.m_ExpiresAt, "R7",
+                   "a spent token is lent and not expired");
+  --Next.m_Tokens;
+  if (Next.m_Tokens == 0)
+    Account.m_Loans.pop_front();
+  ++Account.m_UsedInWindow;
+  ++m_Spent;
+  return true;
+}
+
+bool TokenController::take(const OrganisationName &Organisation, Time Now) {
+  Account &Account = m_Accounts[Organisation];
+  return Account.m_Waiters.empty() && spend(Account, Now);
+}
+
+bool TokenController::takeForWaiter(const OrganisationName &Organisation,
+                                    Time Now) {
+  return spend(m_Accounts[Organisation], Now);
+}
+
+void TokenController::wait(const OrganisationName &Organisation,
+                           CallerRequestId Id, Time Deadline, Time Now) {
+  m_Accounts[Organisation].m_Waiters.push_back(Waiter{Id, Now, Deadline});
+  ++m_WaitingCount;
+  askAtOnce(Now);
+}
+
+void TokenController::stopWaiting(const OrganisationName &Organisation,
+                                  CallerRequestId Id) {
+  auto Account = m_Accounts.find(Organisation);
+  if (Account != m_Accounts.end())
+    m_WaitingCount -=
+        std::erase_if(Account->second.m_Waiters,
+                      [&](const Waiter &Entry) { return Entry.m_Id == Id; });
+}
+
+std::vector<CallerRequestId> TokenController::takeServable(Time Now) {
+  std::vector<CallerRequestId> Servable;
+  if (m_WaitingCount == 0)
+    return Servable;
+  for (auto &[Organisation, Account] : m_Accounts) {
+    if (Account.m_Waiters.empty())
+      continue;
+    uint32_t Tokens = available(Account, Now);
+    for (; Tokens > 0 && !Account.m_Waiters.empty(); --Tokens) {
+      Servable.push_back(Account.m_Waiters.front().m_Id);
+      Account.m_Waiters.pop_front();
+    }
+  }
+  m_WaitingCount -= Servable.size();
+  return Servable;
+}
+
+std::optional<ErrorReport> TokenController::refusalOf(const Account &Account,
+                                                      const Waiter &Waiter,
+                                                      Time Now) const {
+  Duration Waited = Now - Waiter.m_Since;
+  bool LeaderAnswers = Account.m_ShortAskSentAt &&
+                       *Account.m_ShortAskSentAt >= Waiter.m_Since &&
+                       Now - *Account.m_ShortAskSentAt <= kRecentAnswer;
+  if (LeaderAnswers && (Waited >= kTokenWait || Now >= Waiter.m_Deadline))
+    return ErrorReport{ErrorKind::RateLimited,
+                       "the organisation is above its rate", Ran::No,
+                       std::max(Account.m_RetryAfterMs, 1U)};
+  if (Waited >= kLeaderWait || Now >= Waiter.m_Deadline)
+    return ErrorReport{ErrorKind::ConfigurationStale,
+                       "no control leader lends rate tokens", Ran::No, 0};
+  return std::nullopt;
+}
+
+std::vector<TokenController::Refused> TokenController::takeRefused(Time Now) {
+  std::vector<Refused> Result;
+  if (m_WaitingCount == 0)
+    return Result;
+  for (auto &[Organisation, Account] : m_Accounts)
+    std::erase_if(Account.m_Waiters, [&](const Waiter &Entry) {
+      std::optional<ErrorReport> Error = refusalOf(Account, Entry, Now);
+      if (Error)
+        Result.push_back(Refused{Entry.m_Id, *Error});
+      return Error.has_value();
+    });
+  m_WaitingCount -= Result.size();
+  return Result;
+}
+
+void TokenController::setLeader(const std::optional<Endpoint> &Leader,
+                                Time Now) {
+  if (Leader == m_Leader)
+    return;
+  forgetOutstanding();
+  // The new link is wanted first: the peers may be the same host.
+  if (Leader)
+    m_Links.want(*Leader, LinkUse::Tokens, Now);
+  if (m_Leader)
+    m_Links.release(*m_Leader, LinkUse::Tokens);
+  m_Leader = Leader;
+}
+
+void TokenController::forgetOutstanding() {
+  m_Outstanding.clear();
+  m_AskedLink.reset();
+  for (auto &[Organisation, Account] : m_Accounts) {
+    Account.m_AskedWaiting = 0;
+    Account.m_AskedAhead = 0;
+    Account.m_NextAskAt = Time();
+  }
+}
+
+void TokenController::onLinkLost(LinkId Link) {
+  if (m_AskedLink == Link)
+    forgetOutstanding();
+}
+
+void TokenController::onGrant(LinkId Link, const TokenGrant &Grant, Time Now) {
+  if (m_AskedLink != Link)
+    return;
+  // A grant counts once, and only for a request that is still waited for.
+  auto Found = m_Outstanding.find(Grant.m_Sequence);
+  if (Found == m_Outstanding.end())
+    return;
+  Outstanding Answered = std::move(Found->second);
+  m_Outstanding.erase(Found);
+  for (const TokenAsk &Ask : Answered.m_Asks)
+    applyLoan(Answered, Ask, Grant, Now);
+}
+
+void TokenController::applyLoan(const Outstanding &Answered,
+                                const TokenAsk &Ask, const TokenGrant &Grant,
+                                Time Now) {
+  Account &Account = m_Accounts[Ask.m_Organisation];
+  Account.m_AskedWaiting -= std::min(Account.m_AskedWaiting, Ask.m_Waiting);
+  Account.m_AskedAhead -= std::min(Account.m_AskedAhead, Ask.m_Ahead);
+  auto Lent = std::find_if(Grant.m_Loans.begin(), Grant.m_Loans.end(),
+                           [&](const TokenLoan &Loan) {
+                             return Loan.m_Organisation == Ask.m_Organisation;
+                           });
+  uint32_t Tokens = Lent == Grant.m_Loans.end() ? 0 : Lent->m_Tokens;
+  if (Tokens < Ask.m_Waiting || (Ask.m_Waiting == 0 && Tokens == 0)) {
+    uint32_t RetryAfterMs =
+        Lent == Grant.m_Loans.end() ? 0 : Lent->m_RetryAfterMs;
+    Account.m_RetryAfterMs = RetryAfterMs;
+    Account.m_ShortAskSentAt = Answered.m_SentAt;
+    Account.m_NextAskAt =
+        Now + std::clamp<Duration>(milliseconds(RetryAfterMs),
+                                   kTokenAskInterval, kMaxAskPause);
+  }
+  if (Tokens == 0)
+    return;
+  m_Borrowed += Tokens;
+  Duration Validity = milliseconds(Lent->m_ValidityMs);
+  Time ExpiresAt = Answered.m_SentAt + Validity;
+  if (Now >= ExpiresAt) {
+    m_Expired += Tokens;
+    return;
+  }
+  Duration Margin = std::min<Duration>(kReturnMargin, Validity / 4);
+  Loan Added{Tokens, ExpiresAt, ExpiresAt - Margin, Grant.m_LeaderTerm};
+  auto Place = std::upper_bound(Account.m_Loans.begin(), Account.m_Loans.end(),
+                                Added, [](const Loan &Left, const Loan &Right) {
+                                  return Left.m_ExpiresAt < Right.m_ExpiresAt;
+                                });
+  Account.m_Loans.insert(Place, Added);
+}
+
+void TokenController::expireLoans(Account &Account, Time Now) {
+  while (!Account.m_Loans.empty() &&
+         Now >= Account.m_Loans.front().m_ExpiresAt) {
+    m_Expired += Account.m_Loans.front().m_Tokens;
+    Account.m_Loans.pop_front();
+  }
+}
+
+void TokenController::giveBack(const OrganisationName &Organisation,
+                               const Loan &Loan) {
+  std::optional<LinkId> Link =
+      m_Leader ? m_Links.linkTo(*m_Leader) : std::nullopt;
+  if (!Link) {
+    m_Expired += Loan.m_Tokens;
+    return;
+  }
+  m_Returned += Loan.m_Tokens;
+  m_Actions.push_back(SendMessage{
+      *Link, TokenReturn{Loan.m_LeaderTerm, Organisation, Loan.m_Tokens}});
+}
+
+void TokenController::returnUnused(const OrganisationName &Organisation,
+                                   Account &Account, Time Now) {
+  while (!Account.m_Loans.empty() && Account.m_Waiters.empty() &&
+         Now >= Account.m_Loans.front().m_ReturnAt) {
+    giveBack(Organisation, Account.m_Loans.front());
+    Account.m_Loans.pop_front();
+  }
+}
+
+void TokenController::returnAll(Time Now) {
+  for (auto &[Organisation, Account] : m_Accounts) {
+    expireLoans(Account, Now);
+    for (const Loan &Loan : Account.m_Loans)
+      giveBack(Organisation, Loan);
+    Account.m_Loans.clear();
+    Account.m_UsePerSecond = 0;
+    Account.m_UsedInWindow = 0;
+  }
+}
+
+void TokenController::measureUse(Time Now) {
+  constexpr double kOldShare = 0.7;
+  constexpr double kForgotten = 0.5;
+  if (Now - m_WindowStart < kUseWindow)
+    return;
+  double Seconds = std::chrono::duration<double>(Now - m_WindowStart).count();
+  m_WindowStart = Now;
+  for (auto &[Organisation, Account] : m_Accounts) {
+    double Use = Account.m_UsedInWindow / Seconds;
+    Account.m_UsePerSecond =
+        kOldShare * Account.m_UsePerSecond + (1 - kOldShare) * Use;
+    if (Account.m_UsePerSecond < kForgotten)
+      Account.m_UsePerSecond = 0;
+    Account.m_UsedInWindow = 0;
+  }
+}
+
+std::optional<TokenAsk>
+TokenController::askFor(const OrganisationName &Organisation, Account &Account,
+                        Time Now) const {
+  if (Now < Account.m_NextAskAt)
+    return std::nullopt;
+  uint32_t Waiting = static_cast<uint32_t>(Account.m_Waiters.size());
+  uint32_t Wanted = static_cast<uint32_t>(std::min<double>(
+      std::floor(Account.m_UsePerSecond * kAheadSeconds), kMaxTokensPerAsk));
+  uint32_t InHand = available(Account, Now) + Account.m_AskedAhead;
+  TokenAsk Ask{Organisation, 0, 0};
+  if (Waiting > Account.m_AskedWaiting)
+    Ask.m_Waiting = Waiting - Account.m_AskedWaiting;
+  // Asking only below half keeps the number of requests low.
+  if (Wanted > 0 && InHand < (Wanted + 1) / 2)
+    Ask.m_Ahead = Wanted - InHand;
+  if (Ask.m_Waiting == 0 && Ask.m_Ahead == 0)
+    return std::nullopt;
+  Account.m_AskedWaiting += Ask.m_Waiting;
+  Account.m_AskedAhead += Ask.m_Ahead;
+  return Ask;
+}
+
+void TokenController::sendAsks(LinkId Link, Time Now) {
+  std::vector<TokenAsk> Asks;
+  for (auto &[Organisation, Account] : m_Accounts)
+    if (std::optional<TokenAsk> Ask = askFor(Organisation, Account, Now))
+      Asks.push_back(*Ask);
+  if (Asks.empty())
+    return;
+  m_LastAsk = Now;
+  m_AskedLink = Link;
+  m_Outstanding[++m_Sequence] = Outstanding{Now, Asks};
+  m_Actions.push_back(
+      SendMessage{Link, TokenRequest{m_Host, m_Sequence, std::move(Asks)}});
+}
+
+void TokenController::tick(Time Now) {
+  for (auto &[Organisation, Account] : m_Accounts) {
+    expireLoans(Account, Now);
+    returnUnused(Organisation, Account, Now);
+  }
+  measureUse(Now);
+  if (!m_Leader)
+    return;
+  if (!m_Outstanding.empty() &&
+      Now - m_Outstanding.begin()->second.m_SentAt >= kAnswerTimeout) {
+    forgetOutstanding();
+    m_Links.reconnect(*m_Leader, Now);
+  }
+  askAtOnce(Now);
+}
+
+void TokenController::askAtOnce(Time Now) {
+  std::optional<LinkId> Link =
+      m_Leader ? m_Links.linkTo(*m_Leader) : std::nullopt;
+  if (Link && Now - m_LastAsk >= kTokenAskInterval)
+    sendAsks(*Link, Now);
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/TokenController.h
@@ -0,0 +1,120 @@
+/// \file
+/// Borrows rate tokens from the control leader and spends them on requests.
+#pragma once
+
+#include "decision/proxy/LinkTable.h"
+
+#include <deque>
+
+namespace almondpier {
+
+constexpr Duration kTokenAskInterval = std::chrono::milliseconds(20);
+/// A request waits so long for a token when the leader has none to lend.
+constexpr Duration kTokenWait = std::chrono::milliseconds(250);
+/// A request waits so long when no leader answers.
+constexpr Duration kLeaderWait = std::chrono::milliseconds(2'000);
+
+class TokenController {
+public:
+  struct Refused {
+    CallerRequestId m_Id;
+    ErrorReport m_Error;
+  };
+
+  TokenController(const HostName &Host, LinkTable &Links,
+                  ProxyActions &Actions);
+
+  /// Spends a token of the organisation for a request that does not wait.
+  /// Returns false while there is none, or while others wait for one.
+  bool take(const OrganisationName &Organisation, Time Now);
+  /// Spends a token for a request that takeServable() returned.
+  bool takeForWaiter(const OrganisationName &Organisation, Time Now);
+  void wait(const OrganisationName &Organisation, CallerRequestId Id,
+            Time Deadline, Time Now);
+  void stopWaiting(const OrganisationName &Organisation, CallerRequestId Id);
+  /// Removes from the queues the requests for which there are tokens now, in
+  /// order of arrival.
+  std::vector<CallerRequestId> takeServable(Time Now);
+  /// Requests that waited as long as allowed.
+  std::vector<Refused> takeRefused(Time Now);
+
+  void setLeader(const std::optional<Endpoint> &Leader, Time Now);
+  void onGrant(LinkId Link, const TokenGrant &Grant, Time Now);
+  void onLinkLost(LinkId Link);
+  /// Sends what is wanted unless the last request is too recent.
+  void askAtOnce(Time Now);
+  void tick(Time Now);
+  /// Gives all tokens back, before the process ends.
+  void returnAll(Time Now);
+
+  uint64_t tokensBorrowed() const { return m_Borrowed; }
+  uint64_t tokensSpent() const { return m_Spent; }
+  uint64_t tokensReturned() const { return m_Returned; }
+  uint64_t tokensExpired() const { return m_Expired; }
+  size_t waitingCount() const { return m_WaitingCount; }
+
+private:
+  struct Loan {
+    uint32_t m_Tokens = 0;
+    Time m_ExpiresAt;
+    Time m_ReturnAt;
+    uint64_t m_LeaderTerm = 0;
+  };
+  struct Waiter {
+    CallerRequestId m_Id;
+    Time m_Since;
+    Time m_Deadline;
+  };
+  struct Account {
+    /// Soonest to expire first.
+    std::deque<Loan> m_Loans;
+    std::deque<Waiter> m_Waiters;
+    /// Asked for and not answered yet.
+    uint32_t m_AskedWaiting = 0;
+    uint32_t m_AskedAhead = 0;
+    Time m_NextAskAt;
+    /// Send time of the latest request that brought fewer tokens than wanted.
+    std::optional<Time> m_ShortAskSentAt;
+    uint32_t m_RetryAfterMs = 0;
+    uint32_t m_UsedInWindow = 0;
+    double m_UsePerSecond = 0;
+  };
+  struct Outstanding {
+    Time m_SentAt;
+    std::vector<TokenAsk> m_Asks;
+  };
+
+  static uint32_t available(Account &Account, Time Now);
+  bool spend(Account &Account, Time Now);
+  void expireLoans(Account &Account, Time Now);
+  void returnUnused(const OrganisationName &Organisation, Account &Account,
+                    Time Now);
+  void giveBack(const OrganisationName &Organisation, const Loan &Loan);
+  void measureUse(Time Now);
+  std::optional<TokenAsk> askFor(const OrganisationName &Organisation,
+                                 Account &Account, Time Now) const;
+  void sendAsks(LinkId Link, Time Now);
+  void forgetOutstanding();
+  void applyLoan(const Outstanding &Answered, const TokenAsk &Ask,
+                 const TokenGrant &Grant, Time Now);
+  std::optional<ErrorReport> refusalOf(const Account &Account,
+                                       const Waiter &Waiter, Time Now) const;
+
+  HostName m_Host;
+  LinkTable &m_Links;
+  ProxyActions &m_Actions;
+  std::map<OrganisationName, Account> m_Accounts;
+  std::map<uint64_t, Outstanding> m_Outstanding;
+  std::optional<Endpoint> m_Leader;
+  std::optional<LinkId> m_AskedLink;
+  uint64_t m_Sequence = 0;
+  size_t m_WaitingCount = 0;
+  Time m_LastAsk;
+  Time m_WindowStart;
+  uint64_t m_Borrowed = 0;
+  uint64_t m_Spent = 0;
+  uint64_t m_Returned = 0;
+  uint64_t m_Expired = 0;
+};
+
+} // namespace almondpier
