--- /dev/null
+++ b/src/telemetry/Log.cpp
@@ -0,0 +1,100 @@
+#include "almondpier/Telemetry.h"
+
+#include <iostream>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+namespace almondpier {
+
+namespace {
+
+using Logger = boost::log::sources::severity_logger<LogLevel>;
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::synchronous_sink<Backend>;
+
+std::string_view textOf(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Info:
+    return "info";
+  case LogLevel::Warning:
+    return "warning";
+  case LogLevel::Error:
+    return "error";
+  }
+  return "error";
+}
+
+std::string currentTime() {
+  constexpr int64_t kMillisecondsPerSecond = 1'000;
+  std::chrono::system_clock::time_point Now = std::chrono::system_clock::now();
+  std::time_t Seconds = std::chrono::system_clock::to_time_t(Now);
+  int64_t Milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Now.time_since_epoch())
+                             .count() %
+                         kMillisecondsPerSecond;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  std::array<char, 32> Text{};
+  std::strftime(Text.data(), Text.size(), "%Y-%m-%dT%H:%M:%S", &Parts);
+  std::string Fraction = std::to_string(kMillisecondsPerSecond + Milliseconds);
+  return std::string(Text.data()) + "." + Fraction.substr(1) + "Z";
+}
+
+/// Keeps a record on one line and its quotes balanced.
+std::string quoted(std::string_view Text) {
+  std::string Result = "\"";
+  for (char Character : Text) {
+    if (Character == '"' || Character == '\\')
+      Result += '\\';
+    bool IsControl = static_cast<unsigned char>(Character) < ' ';
+    Result += IsControl ? ' ' : Character;
+  }
+  return Result + "\"";
+}
+
+Logger &logger() {
+  static Logger Instance;
+  return Instance;
+}
+
+} // namespace
+
+void initializeLogging(std::string_view Program, std::string_view Host) {
+  std::string Origin =
+      " program=" + std::string(Program) + " host=" + std::string(Host);
+  boost::shared_ptr<Backend> Target = boost::make_shared<Backend>();
+  Target->add_stream(
+      boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+  Target->auto_flush(true);
+  boost::shared_ptr<Sink> Output = boost::make_shared<Sink>(Target);
+  Output->set_formatter([Origin](const boost::log::record_view &Record,
+                                 boost::log::formatting_ostream &Stream) {
+    boost::log::value_ref<LogLevel> Level =
+        boost::log::extract<LogLevel>("Severity", Record);
+    boost::log::value_ref<std::string> Text =
+        boost::log::extract<std::string>("Message", Record);
+    Stream << "time=" << currentTime()
+           << " level=" << textOf(Level ? *Level : LogLevel::Error) << Origin
+           << " message=" << quoted(Text ? *Text : std::string());
+  });
+  boost::log::core::get()->add_sink(Output);
+}
+
+void writeLog(LogLevel Level, std::string_view Text) {
+  boost::log::record Record =
+      logger().open_record(boost::log::keywords::severity = Level);
+  if (!Record)
+    return;
+  boost::log::record_ostream Stream(Record);
+  Stream << Text;
+  Stream.flush();
+  logger().push_record(std::move(Record));
+}
+
+} // namespace almondpier
