--- a/src/net/Datagram.cpp
+++ b/src/net/Datagram.cpp
@@ -21,6 +21,9 @@
 };
 
 constexpr size_t kHeaderBytes = sizeof(DatagramHeader);
+/// Room for the heartbeats of 540 hosts that arrive at once; the default of the
+/// system holds about 256 of them, and the rest would be lost.
+constexpr int kReceiveBufferBytes = 4 << 20;
 /// Senders remembered before the own nonce is renewed, which forgets them all
 /// without admitting replays.
 constexpr size_t kMaxSenders = 16'384;
@@ -142,6 +145,8 @@
   m_State->m_OnMessage = std::move(OnMessage);
   m_State->m_Socket =
       ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  ::setsockopt(m_State->m_Socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
   sockaddr_in Address = toSocketAddress(Local);
   if (m_State->m_Socket < 0 ||
       ::bind(m_State->m_Socket, reinterpret_cast<sockaddr *>(&Address),
