--- a/src/decision/consensus/Consensus.h
+++ b/src/decision/consensus/Consensus.h
@@ -57,6 +57,9 @@
   friend auto operator<=>(const PersistedLog &, const PersistedLog &) = default;
 };
 
+/// The log of a new cluster whose only voter is Self.
+PersistedLog makeInitialLog(const ControlMember &Self);
+
 /// What the driver must do, in this order: persist and sync m_HardState,
 /// m_InstalledSnapshot and m_Entries; send m_Messages; apply
 /// m_InstalledSnapshot, then m_Committed.
@@ -89,7 +92,8 @@
 enum class ConsensusRole : uint8_t { Follower, Candidate, Leader, Learner };
 
 /// One member of the replicated log. After each call the driver takes and
-/// carries out the output.
+/// carries out the output. Every Now is read after the event it belongs to; a
+/// reading cached before a pause would make a lease look valid for too long.
 class Consensus {
 public:
   Consensus(const ConsensusOptions &Options, PersistedLog Log, Time Now);
@@ -100,12 +104,14 @@
   void tick(Time Now);
   void receive(const ConsensusMessage &Message, Time Now);
   /// Appends an entry; returns its index, or nothing when this member does not
-  /// lead.
+  /// lead or gives up leadership. Throws Error(BodyTooLarge) for Data above
+  /// kMaxMessageBytes / 2.
   std::optional<uint64_t> propose(std::string Data, Time Now);
   /// Changes the membership by one member; Data is applied like that of other
   /// entries. Returns nothing when this member does not lead, another change is
   /// not yet committed, the leader has not committed in its term, a learner to
-  /// be promoted does not hold the whole log, or more than one member changes.
+  /// be promoted does not hold every committed entry, or the change is not of
+  /// exactly one member. A new member is added as a learner first.
   std::optional<uint64_t> proposeMembership(const Membership &Target,
                                             std::string Data, Time Now);
   /// Asks for an index up to which a reader must apply, confirmed by a round
@@ -131,6 +137,9 @@
   uint64_t lastIndex() const;
   /// Index of the last entry that a snapshot covers.
   uint64_t snapshotIndex() const;
+  /// The last snapshot, as made by compact or sent by a leader; the driver
+  /// persists it after compact.
+  const Snapshot &snapshot() const;
   const Membership &membership() const;
   /// Last index known to be on a member, as the leader sees it.
   uint64_t matchIndex(MemberId Member) const;
