--- a/include/almondpier/StandIn.h
+++ b/include/almondpier/StandIn.h
@@ -201,7 +201,7 @@
 public:
   /// Throws Error when an endpoint cannot be bound or the data folder cannot be
   /// used.
-  StandInServer(EventLoop &Loop, StandInSettings Settings);
+  StandInServer(EventLoop &Loop, const StandInSettings &Settings);
   ~StandInServer();
   StandInServer(const StandInServer &) = delete;
   StandInServer &operator=(const StandInServer &) = delete;
--- a/programs/Database.cpp
+++ b/programs/Database.cpp
@@ -1,13 +1,12 @@
 #include "almondpier/Net.h"
+#include "almondpier/Settings.h"
 #include "almondpier/StandIn.h"
+#include "almondpier/Telemetry.h"
 
 #include <cstdio>
 #include <cstdlib>
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/strings/str_split.h>
 
 ABSL_FLAG(std::string, database, "", "Name of the database (group)");
 ABSL_FLAG(std::string, instance, "", "Name of this instance");
@@ -18,63 +17,74 @@
 ABSL_FLAG(std::string, control, "",
           "HTTP endpoints of the control hosts, ADDRESS:PORT,...");
 ABSL_FLAG(std::string, data_folder, "", "Folder that holds the log");
-ABSL_FLAG(uint32_t, group_size, 3, "Instances in the group");
-ABSL_FLAG(uint32_t, slots, 3, "Statements executed at a time");
-ABSL_FLAG(uint32_t, connection_limit, 25, "Connections for statements");
-ABSL_FLAG(uint32_t, connection_ms, 10, "Time to open a connection, in ms");
-ABSL_FLAG(uint32_t, statement_ms, 0, "Time a statement takes, in ms");
-ABSL_FLAG(uint32_t, lag_ms, 0, "Replication lag of this instance, in ms");
-ABSL_FLAG(bool, sync, false, "Sync each record to the disk");
+ABSL_FLAG(std::string, group_size, "", "Instances in the group (3)");
+ABSL_FLAG(std::string, slots, "", "Statements executed at a time (3)");
+ABSL_FLAG(std::string, connection_limit, "", "Connections for statements (25)");
+ABSL_FLAG(std::string, connection_ms, "",
+          "Time to open a connection, in ms (10)");
+ABSL_FLAG(std::string, statement_ms, "", "Time a statement takes, in ms (0)");
+ABSL_FLAG(std::string, lag_ms, "",
+          "Replication lag of this instance, in ms (0)");
+ABSL_FLAG(std::string, sync, "", "Sync each record to the disk (false)");
 
 using namespace almondpier;
 
-static std::string fromEnvironment(const char *Name) {
-  const char *Value = std::getenv(Name);
-  return Value == nullptr ? "" : Value;
+static std::vector<SettingSpec> specs() {
+  constexpr int64_t kMaxCount = 100'000;
+  constexpr int64_t kMaxMs = 60'000;
+  return {
+      {"database", SettingKind::Name},
+      {"instance", SettingKind::Name},
+      {"zone", SettingKind::Name},
+      {"statements", SettingKind::Endpoint},
+      {"platform", SettingKind::Endpoint},
+      {"control", SettingKind::EndpointList, ""},
+      {"announcement_secret", SettingKind::Secret, ""},
+      {"data_folder", SettingKind::Folder, ""},
+      {"group_size", SettingKind::Integer, "3", 1, kMaxCount},
+      {"slots", SettingKind::Integer, "3", 1, kMaxCount},
+      {"connection_limit", SettingKind::Integer, "25", 1, kMaxCount},
+      {"connection_ms", SettingKind::Integer, "10", 0, kMaxMs, "ms"},
+      {"statement_ms", SettingKind::Integer, "0", 0, kMaxMs, "ms"},
+      {"lag_ms", SettingKind::Integer, "0", 0, kMaxMs, "ms"},
+      {"sync", SettingKind::Boolean, "false"},
+  };
 }
 
-static void requireName(const std::string &Value, const char *Flag) {
-  if (!isValidName(Value))
-    throw std::invalid_argument(std::string("--") + Flag +
-                                " needs 1 to 64 of "
-                                "the characters a-z, A-Z, 0-9, '.', '_', '-'");
-}
-
-static StandInSettings settingsFromFlags() {
-  StandInSettings Settings;
-  InstanceRecord &Instance = Settings.m_Instance;
-  Instance.m_Database.m_Value = absl::GetFlag(FLAGS_database);
-  Instance.m_Name.m_Value = absl::GetFlag(FLAGS_instance);
-  Instance.m_Zone.m_Value = absl::GetFlag(FLAGS_zone);
-  requireName(Instance.m_Database.m_Value, "database");
-  requireName(Instance.m_Name.m_Value, "instance");
-  requireName(Instance.m_Zone.m_Value, "zone");
-  Instance.m_Statements = parseEndpoint(absl::GetFlag(FLAGS_statements));
-  Instance.m_Platform = parseEndpoint(absl::GetFlag(FLAGS_platform));
-  Instance.m_Slots = absl::GetFlag(FLAGS_slots);
-  Instance.m_ConnectionLimit = absl::GetFlag(FLAGS_connection_limit);
-  Instance.m_GroupSize = absl::GetFlag(FLAGS_group_size);
-  std::vector<std::string> Control =
-      absl::StrSplit(absl::GetFlag(FLAGS_control), ',', absl::SkipEmpty());
-  for (const std::string &Host : Control)
-    Settings.m_Control.push_back(parseEndpoint(Host));
-  Settings.m_AnnouncementSecret =
-      fromEnvironment("ALMONDPIER_ANNOUNCEMENT_SECRET");
-  Settings.m_DataFolder = absl::GetFlag(FLAGS_data_folder);
-  Settings.m_SyncEachRecord = absl::GetFlag(FLAGS_sync);
-  Settings.m_ConnectionMs = absl::GetFlag(FLAGS_connection_ms);
-  Settings.m_StatementMs = absl::GetFlag(FLAGS_statement_ms);
-  Settings.m_LagMs = absl::GetFlag(FLAGS_lag_ms);
-  return Settings;
+static StandInSettings settingsOf(const Settings &Values) {
+  auto Amount = [&](const std::string &Name) {
+    return static_cast<uint32_t>(Values.integer(Name));
+  };
+  StandInSettings Result;
+  InstanceRecord &Instance = Result.m_Instance;
+  Instance.m_Database.m_Value = Values.text("database");
+  Instance.m_Name.m_Value = Values.text("instance");
+  Instance.m_Zone.m_Value = Values.text("zone");
+  Instance.m_Statements = Values.endpoint("statements");
+  Instance.m_Platform = Values.endpoint("platform");
+  Instance.m_Slots = Amount("slots");
+  Instance.m_ConnectionLimit = Amount("connection_limit");
+  Instance.m_GroupSize = Amount("group_size");
+  Result.m_Control = Values.endpoints("control");
+  Result.m_AnnouncementSecret = Values.text("announcement_secret");
+  Result.m_DataFolder = Values.text("data_folder");
+  Result.m_SyncEachRecord = Values.boolean("sync");
+  Result.m_ConnectionMs = Amount("connection_ms");
+  Result.m_StatementMs = Amount("statement_ms");
+  Result.m_LagMs = Amount("lag_ms");
+  return Result;
 }
 
 int main(int Count, char **Arguments) {
-  absl::SetProgramUsageMessage("Runs one instance of the stand-in database.");
-  absl::ParseCommandLine(Count, Arguments);
   try {
+    parseCommandLine(Count, Arguments,
+                     "Runs one instance of the stand-in database.");
+    Settings Values = Settings::load(specs());
+    initializeLogging("almondpier-database", Values.text("instance"));
     EventLoop Loop;
-    StandInServer Server(Loop, settingsFromFlags());
+    StandInServer Server(Loop, settingsOf(Values));
     ShutdownSignal Signal(Loop, [&] { Loop.stop(); });
+    writeLog(LogLevel::Info, "serving database " + Values.text("database"));
     Loop.run();
     return EXIT_SUCCESS;
   } catch (const std::exception &Failure) {
--- a/src/standin/Server.cpp
+++ b/src/standin/Server.cpp
@@ -58,7 +58,7 @@
   }
 };
 
-StandInServer::StandInServer(EventLoop &Loop, StandInSettings Settings)
+StandInServer::StandInServer(EventLoop &Loop, const StandInSettings &Settings)
     : m_State(std::make_unique<State>(Loop, Settings)) {}
 
 StandInServer::~StandInServer() = default;
--- a/src/standin/StatementEndpoint.cpp
+++ b/src/standin/StatementEndpoint.cpp
@@ -40,12 +40,11 @@
 StatementEndpoint::StatementEndpoint(StandInContext &Context,
                                      std::function<void()> OnChange)
     : m_Context(Context), m_OnChange(std::move(OnChange)),
-      m_Server(
-          Context, Context.m_Settings.m_Instance.m_Statements,
-          {[this](HttpServerRequest Request) { handle(std::move(Request)); },
-           [this](HttpConnectionId Connection) { forget(Connection); }}) {}
+      m_Server(Context, Context.m_Settings.m_Instance.m_Statements,
+               {[this](const HttpServerRequest &Request) { handle(Request); },
+                [this](HttpConnectionId Connection) { forget(Connection); }}) {}
 
-void StatementEndpoint::handle(HttpServerRequest Request) {
+void StatementEndpoint::handle(const HttpServerRequest &Request) {
   Job New{Request.m_Id, Request.m_Connection, {}};
   if (m_Context.isIsolated()) {
     answer(New, {});
--- a/src/standin/StatementEndpoint.h
+++ b/src/standin/StatementEndpoint.h
@@ -22,7 +22,7 @@
     Work m_Work;
   };
 
-  void handle(HttpServerRequest Request);
+  void handle(const HttpServerRequest &Request);
   /// Throws Error when a header is invalid.
   Work workOf(const HttpServerRequest &Request);
   void enqueue(Job Job);
