--- /dev/null
+++ b/src/decision/proxy/owner/ConnectionPool.cpp
@@ -0,0 +1,125 @@
+#include "decision/proxy/owner/ConnectionPool.h"
+
+#include "decision/Invariant.h"
+#include "decision/proxy/owner/Instance.h"
+
+#include <algorithm>
+
+namespace almondpier {
+
+void ConnectionPool::configure(const InstanceRecord &Record) {
+  // Two hosts may act as owner at once, and each uses at most 40% of the
+  // connection limit.
+  constexpr size_t kSharePercent = 40;
+  constexpr size_t kPercent = 100;
+  m_Slots = std::max<size_t>(1, Record.m_Slots);
+  m_Limit =
+      std::max<size_t>(1, Record.m_ConnectionLimit * kSharePercent / kPercent);
+  size_t Reserved = std::min(m_Slots + 1, m_Limit / 2);
+  m_MaxPinned = std::max<size_t>(1, m_Limit - Reserved);
+}
+
+void ConnectionPool::setOpen(bool IsOpen, ConnectionTable &Table,
+                             ProxyActions &Actions) {
+  if (m_IsOpen && !IsOpen)
+    retire(Table, Actions);
+  m_IsOpen = IsOpen;
+}
+
+void ConnectionPool::retire(ConnectionTable &Table, ProxyActions &Actions) {
+  ++m_Generation;
+  std::vector<Connection *> Idle;
+  Idle.swap(m_Idle);
+  for (Connection *Connection : Idle)
+    discard(*Connection, Table, Actions, false);
+}
+
+void ConnectionPool::warm(OwnerGroup &Group, Instance &Instance,
+                          ConnectionTable &Table, uint64_t &NextId,
+                          ProxyActions &Actions, Time Now) {
+  if (!m_IsOpen || Now < m_NextOpen)
+    return;
+  size_t Wanted = std::min(m_Limit, m_Pinned + m_Slots + 1);
+  while (m_All.size() < Wanted) {
+    std::unique_ptr<Connection> New = std::make_unique<Connection>();
+    New->m_Id = ConnectionId{NextId++};
+    New->m_Group = &Group;
+    New->m_Instance = &Instance;
+    New->m_Generation = m_Generation;
+    New->m_SentAt = Now;
+    Actions.emplace_back(
+        OpenConnection{New->m_Id, Instance.m_Record.m_Statements});
+    SendStatement WarmUp;
+    WarmUp.m_Connection = New->m_Id;
+    WarmUp.m_Kind = RequestKind::Outcome;
+    WarmUp.m_RequestId = kWarmUpRequestId;
+    Actions.emplace_back(std::move(WarmUp));
+    m_All.push_back(New.get());
+    uint64_t Id = New->m_Id.m_Value;
+    Table.emplace(Id, std::move(New));
+  }
+}
+
+Connection &ConnectionPool::take() {
+  Connection &Taken = *m_Idle.back();
+  m_Idle.pop_back();
+  requireInvariant(!Taken.m_IsBusy && Taken.m_Request == nullptr &&
+                       Taken.m_Transaction == nullptr,
+                   "R8", "an idle connection belongs to a request");
+  return Taken;
+}
+
+void ConnectionPool::onSent(Connection &Connection, Time Now) {
+  requireInvariant(!Connection.m_IsBusy, "R8",
+                   "two requests at once on one connection");
+  Connection.m_IsBusy = true;
+  Connection.m_SentAt = Now;
+  ++m_Outstanding;
+}
+
+void ConnectionPool::onAnswered(Connection &Connection) {
+  if (!Connection.m_IsBusy)
+    return;
+  Connection.m_IsBusy = false;
+  --m_Outstanding;
+}
+
+void ConnectionPool::pin(Connection &Connection, Transaction &Transaction) {
+  Connection.m_Transaction = &Transaction;
+  ++m_Pinned;
+}
+
+void ConnectionPool::giveBack(Connection &Connection, ConnectionTable &Table,
+                              ProxyActions &Actions) {
+  requireInvariant(!Connection.m_IsBusy, "R8",
+                   "a connection returns before its answer");
+  if (Connection.m_Generation != m_Generation || !m_IsOpen) {
+    discard(Connection, Table, Actions, false);
+    return;
+  }
+  if (Connection.m_Transaction != nullptr) {
+    Connection.m_Transaction = nullptr;
+    --m_Pinned;
+  }
+  Connection.m_Request = nullptr;
+  m_Idle.push_back(&Connection);
+}
+
+void ConnectionPool::discard(Connection &Connection, ConnectionTable &Table,
+                             ProxyActions &Actions, bool AlreadyClosed) {
+  onAnswered(Connection);
+  if (Connection.m_Transaction != nullptr)
+    --m_Pinned;
+  std::erase(m_Idle, &Connection);
+  std::erase(m_All, &Connection);
+  if (!AlreadyClosed)
+    Actions.emplace_back(CloseConnection{Connection.m_Id});
+  Table.erase(Connection.m_Id.m_Value);
+}
+
+void ConnectionPool::onWarmUpFailed(Time Now) {
+  constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
+  m_NextOpen = Now + kRetryAfter;
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/owner/ReadRouter.cpp
@@ -0,0 +1,48 @@
+#include "decision/proxy/owner/ReadRouter.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace almondpier {
+
+bool ReadRouter::satisfies(const GroupView &View, const PendingRequest &Request,
+                           uint32_t MaxReadAgeMs, Position Position, Time Now) {
+  const ReadRequirement &Requirement = Request.m_Request.m_Requirement;
+  if (Requirement.m_MaxAgeMs) {
+    std::chrono::milliseconds MaxAge(
+        std::min(*Requirement.m_MaxAgeMs, MaxReadAgeMs));
+    return View.isFresh(Position, Now - MaxAge);
+  }
+  if (Requirement.m_ConfirmedPrimary)
+    return false;
+  return Requirement.m_Position.m_Index == 0 ||
+         View.record().m_History.covers(Position, Requirement.m_Position);
+}
+
+ReadRouter::Choice ReadRouter::choose(const GroupView &View,
+                                      const PendingRequest &Request,
+                                      uint32_t MaxReadAgeMs, Time Now) const {
+  using Rank = std::tuple<double, bool, Duration>;
+  Choice Result;
+  Rank Best;
+  for (const std::unique_ptr<Instance> &Member : View.instances()) {
+    Instance &Candidate = *Member;
+    if (&Candidate == View.primary() || Candidate.m_IsDraining ||
+        !Candidate.isHealthy(Now) || Candidate.m_Pool.open() == 0 ||
+        !satisfies(View, Request, MaxReadAgeMs, Candidate.m_Position, Now))
+      continue;
+    Result.m_HasCandidate = true;
+    if (!Candidate.m_Pool.hasCapacity() || Now < Candidate.m_PausedUntil)
+      continue;
+    Rank Own(static_cast<double>(Candidate.m_Pool.outstanding()) /
+                 static_cast<double>(Candidate.m_Pool.slots()),
+             Candidate.m_Record.m_Zone != m_Zone, Candidate.m_RoundTrip);
+    if (Result.m_Instance != nullptr && Best <= Own)
+      continue;
+    Best = Own;
+    Result.m_Instance = &Candidate;
+  }
+  return Result;
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/owner/TransactionTable.h
@@ -0,0 +1,51 @@
+/// \file
+/// Open transactions of one database.
+#pragma once
+
+#include "decision/proxy/owner/ConnectionPool.h"
+#include "decision/proxy/owner/PendingRequest.h"
+
+namespace almondpier {
+
+constexpr Duration kTransactionIdleLimit = std::chrono::seconds(10);
+constexpr Duration kTransactionLifetime = std::chrono::seconds(30);
+
+/// A transaction is pinned to one connection from begin to its end.
+struct Transaction {
+  uint64_t m_Number = 0;
+  OrganisationName m_Organisation;
+  KeyId m_Key;
+  Connection *m_Connection = nullptr;
+  Instance *m_Instance = nullptr;
+  Time m_BegunAt{};
+  Time m_LastUsed{};
+  /// The statement that is queued or running.
+  PendingRequest *m_Statement = nullptr;
+};
+
+class TransactionTable {
+public:
+  Transaction &open(uint64_t Number, const PendingRequest &Begin,
+                    Connection &Connection, Time Now);
+  /// Returns the transaction, or null.
+  Transaction *find(uint64_t Number);
+  void close(const Transaction &Transaction);
+  /// Transactions that are over: idle or open for too long, or on an instance
+  /// that has been draining for longer than DrainTimeout.
+  std::vector<Transaction *> expired(Time Now, Duration DrainTimeout) const;
+  /// Transactions whose key is no longer in force.
+  std::vector<Transaction *> revoked(const Configuration &State) const;
+  std::vector<Transaction *> all() const;
+  size_t size() const { return m_Open.size(); }
+
+private:
+  using Entry = std::pair<const uint64_t, std::unique_ptr<Transaction>>;
+
+  std::unordered_map<uint64_t, std::unique_ptr<Transaction>> m_Open;
+};
+
+/// Whether the key is in force and belongs to the organisation.
+bool isKeyInForce(const Configuration &State, const KeyId &Key,
+                  const OrganisationName &Organisation);
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/proxy/owner/WriteTracker.h
@@ -0,0 +1,38 @@
+/// \file
+/// Decides when a write is safe on a majority of its group.
+#pragma once
+
+#include "decision/proxy/owner/GroupView.h"
+#include "decision/proxy/owner/PendingRequest.h"
+
+namespace almondpier {
+
+/// Whether an instance that was in the term of Reported with a log up to it
+/// holds the entry at Entry.m_Index of the log of the primary of Entry.m_Term.
+bool holdsEntry(Position Reported, Position Entry, const TermHistory &History);
+
+/// Writes that were answered by a primary and wait for a majority.
+class WriteTracker {
+public:
+  void add(PendingRequest &Request);
+  void remove(PendingRequest &Request);
+  bool empty() const { return m_Waiting.empty(); }
+  size_t size() const { return m_Waiting.size(); }
+
+  /// Highest position that a majority of the group holds in one and the same
+  /// term; zero when there is none.
+  static Position majorityPosition(const GroupView &View);
+  /// Moves writes that a majority holds to Safe, and writes that cannot be on
+  /// the log of the current term to Lost.
+  void resolve(const GroupView &View, std::vector<PendingRequest *> &Safe,
+               std::vector<PendingRequest *> &Lost);
+  /// Asks instances that lack the lowest waiting write to answer when they have
+  /// it.
+  void askForPositions(GroupView &View, uint64_t &NextId, ProxyActions &Actions,
+                       Time Now) const;
+
+private:
+  std::multimap<Position, PendingRequest *> m_Waiting;
+};
+
+} // namespace almondpier
