Do not prove coverage across a term that has no published start

Cause: the history skips a term that was begun and promoted but never published (the control leader failed in between). The primary of that term can hold another entry at the wanted index and be elected again, so the start of the next published term says nothing about the wanted entry. Change: coverage across terms needs the start of every term in between; the zero position is always covered.

--- a/src/model/Values.cpp
+++ b/src/model/Values.cpp
@@ -67,6 +67,8 @@
 }
 
 bool TermHistory::covers(Position State, Position Wanted) const {
+  if (Wanted == Position{})
+    return true;
   if (State.m_Term < Wanted.m_Term || State.m_Index < Wanted.m_Index)
     return false;
   if (State.m_Term == Wanted.m_Term)
@@ -75,19 +77,16 @@
                                [](uint64_t Term, const TermStart &Start) {
                                  return Term < Start.m_Term;
                                });
-  // Every later term up to that of State must have begun at or after Wanted.
-  // Starts rise with terms along the surviving log, but a primary that was
-  // elected and lost may have begun late, so each one is checked.
-  if (Next == m_Starts.end() || std::none_of(m_Starts.begin(), m_Starts.end(),
-                                             [&](const TermStart &Start) {
-                                               return Start.m_Term ==
-                                                      State.m_Term;
-                                             }))
-    return false;
-  for (; Next != m_Starts.end() && Next->m_Term <= State.m_Term; ++Next)
-    if (Next->m_StartIndex < Wanted.m_Index)
+  // Every later term up to that of State must have begun at or after Wanted. A
+  // term that was begun but has no published start can have put an entry at
+  // Wanted.m_Index, so a gap proves nothing.
+  uint64_t Expected = Wanted.m_Term + 1;
+  for (; Next != m_Starts.end() && Next->m_Term <= State.m_Term; ++Next) {
+    if (Next->m_Term != Expected || Next->m_StartIndex < Wanted.m_Index)
       return false;
-  return true;
+    ++Expected;
+  }
+  return Expected == State.m_Term + 1;
 }
 
 static void initializeSodium() {
--- a/tests/model/ModelTest.cpp
+++ b/tests/model/ModelTest.cpp
@@ -21,6 +21,21 @@
   CHECK(!History.covers({4, 20}, {1, 5}));
 }
 
+TEST_CASE("a term without a published start proves no coverage across it, "
+          "because its primary may have replaced the entry") {
+  TermHistory History;
+  History.add({2, 0});
+  // Term 3 was begun; its primary began it at index 1 with entry 2 and was
+  // elected again for term 4 before term 3 was published.
+  History.add({4, 2});
+  CHECK(!History.covers({4, 3}, {2, 2}));
+  CHECK(History.covers({4, 3}, {4, 3}));
+  CHECK(History.covers({2, 2}, {2, 2}));
+  History.add({5, 9});
+  CHECK(History.covers({5, 10}, {4, 9}));
+  CHECK(!History.covers({5, 10}, {2, 1}));
+}
+
 TEST_CASE("of two changes with the same expected version one wins, and a "
           "refused change alters nothing") {
   Configuration State;
