--- /dev/null
+++ b/tests/owner/Simulation.h
@@ -0,0 +1,518 @@
+/// \file
+/// Runs owners against a group of fake instances under a manual clock.
+#pragma once
+
+#include "decision/proxy/OwnerController.h"
+#include "owner/FakeInstance.h"
+
+#include <functional>
+#include <queue>
+#include <random>
+
+namespace almondpier::testing {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct SimulatedOwner {
+  ProxyBlackboard m_Board;
+  std::unique_ptr<OwnerController> m_Controller;
+  /// Cut off from the control hosts.
+  bool m_IsIsolated = false;
+  std::set<InstanceName> m_Unreachable;
+};
+
+class Simulation {
+public:
+  struct Options {
+    size_t m_Instances = 3;
+    size_t m_Owners = 1;
+    uint64_t m_Seed = 1;
+    uint32_t m_Slots = 3;
+    uint32_t m_ConnectionLimit = 25;
+    Duration m_Latency = microseconds(500);
+    /// Random part of each latency.
+    Duration m_Jitter{};
+    Duration m_Service = microseconds(200);
+    size_t m_Batch = 1'000;
+  };
+
+  explicit Simulation(const Options &Options)
+      : m_Options(Options), m_Random(Options.m_Seed) {
+    change(CreateOrganisation{{"org"}});
+    change(CreateOrganisation{{"other"}});
+    change(IssueKey{{"key"}, {{"org"}, digestOfKey("key")}});
+    change(IssueKey{{"other-key"}, {{"other"}, digestOfKey("other-key")}});
+    for (size_t Index = 0; Index < Options.m_Instances; ++Index)
+      addInstance("i" + std::to_string(Index));
+    for (size_t Index = 0; Index < Options.m_Owners; ++Index) {
+      m_Owners.push_back(std::make_unique<SimulatedOwner>());
+      SimulatedOwner &Owner = *m_Owners.back();
+      OwnerOptions Named{{"h" + std::to_string(Index)}, {"zone"}, 1};
+      Owner.m_Controller =
+          std::make_unique<OwnerController>(Named, Owner.m_Board);
+      for (size_t Rank = 0; Rank < Options.m_Owners; ++Rank)
+        Owner.m_Board.m_Observers[{"db"}].push_back(
+            {"h" + std::to_string((Index + Rank) % Options.m_Owners)});
+    }
+    failOver();
+    publish();
+    tickOwners();
+    replicate();
+  }
+
+  // Time.
+  Time now() const { return m_Now; }
+  void at(Duration Delay, std::function<void()> Action) {
+    m_Events.push({m_Now + Delay, m_NextEvent++, std::move(Action)});
+  }
+  void run(Duration Period) {
+    Time End = m_Now + Period;
+    while (!m_Events.empty() && m_Events.top().m_At <= End) {
+      Event Next = m_Events.top();
+      m_Events.pop();
+      m_Now = Next.m_At;
+      Next.m_Action();
+    }
+    m_Now = End;
+  }
+
+  // Requests.
+  AdmittedRequest request(RequestKind Kind, std::string Statement,
+                          uint32_t TimeLeftMs = 1'000) const {
+    AdmittedRequest Made;
+    Made.m_Kind = Kind;
+    Made.m_Organisation = {"org"};
+    Made.m_Key = {"key"};
+    Made.m_Database = {"db"};
+    Made.m_Statement = std::move(Statement);
+    Made.m_TimeLeftMs = TimeLeftMs;
+    return Made;
+  }
+  uint64_t submit(const AdmittedRequest &Request, size_t Owner = 0) {
+    uint64_t Ticket = m_NextTicket++;
+    m_Submitted[Ticket] = {m_Now, m_Now + milliseconds(Request.m_TimeLeftMs)};
+    m_Owners[Owner]->m_Controller->submit({Ticket}, Request, m_Now);
+    collect(Owner);
+    return Ticket;
+  }
+  void cancel(uint64_t Ticket, size_t Owner = 0) {
+    m_Owners[Owner]->m_Controller->cancel({Ticket}, m_Now);
+    collect(Owner);
+  }
+  const RequestResult *result(uint64_t Ticket) const {
+    auto Found = m_Results.find(Ticket);
+    return Found == m_Results.end() ? nullptr : &Found->second;
+  }
+  /// Runs until the request completes, and returns its result.
+  const RequestResult &finish(uint64_t Ticket) {
+    for (int Step = 0; Step < 40'000 && result(Ticket) == nullptr; ++Step)
+      run(milliseconds(1));
+    return m_Results.at(Ticket);
+  }
+  const RequestResult &call(const AdmittedRequest &Request) {
+    return finish(submit(Request));
+  }
+
+  // Control.
+  void change(const ChangeBody &Body) {
+    m_Configuration.apply({"", m_Configuration.version(), "test", 0, Body});
+  }
+  const DatabaseRecord &record() const {
+    return *m_Configuration.findDatabase({"db"});
+  }
+  /// Hands the configuration to the owners that are not isolated.
+  void publish() {
+    for (size_t Index = 0; Index < m_Owners.size(); ++Index) {
+      SimulatedOwner &Owner = *m_Owners[Index];
+      if (Owner.m_IsIsolated)
+        continue;
+      Owner.m_Board.m_Configuration = m_Configuration;
+      Owner.m_Board.m_FreshAt = m_Now;
+      Owner.m_Controller->onConfigurationChanged(m_Now);
+      collect(Index);
+    }
+  }
+  FakeInstance &instance(const std::string &Name) {
+    return *m_Instances.at({Name});
+  }
+  FakeInstance *primary() {
+    FakeInstance *Latest = nullptr;
+    for (auto &Entry : m_Instances)
+      if (Entry.second->m_IsPrimary &&
+          (Latest == nullptr ||
+           Latest->m_SealedTerm < Entry.second->m_SealedTerm))
+        Latest = Entry.second.get();
+    return Latest;
+  }
+  // The steps of a failover. Instances for which control is cut off are
+  // skipped.
+  uint64_t beginTerm() {
+    uint64_t Term = record().m_BegunTerm + 1;
+    change(BeginTerm{{"db"}, Term});
+    return Term;
+  }
+  std::vector<FakeInstance *> sealAll(uint64_t Term) {
+    std::vector<FakeInstance *> Sealed;
+    for (auto &Entry : m_Instances)
+      if (Entry.second->m_IsUp && !m_ControlCut.contains(Entry.first) &&
+          record().m_Instances.contains(Entry.first) &&
+          Entry.second->seal(Term))
+        Sealed.push_back(Entry.second.get());
+    return Sealed;
+  }
+  /// Promotes the best of the sealed instances; null without a majority.
+  FakeInstance *promote(const std::vector<FakeInstance *> &Sealed) {
+    std::vector<FakeInstance *> Candidates;
+    for (FakeInstance *Candidate : Sealed)
+      if (!record().m_Draining.contains(Candidate->m_Name))
+        Candidates.push_back(Candidate);
+    if (Candidates.size() < record().majority())
+      Candidates = Sealed;
+    if (Candidates.size() < record().majority())
+      return nullptr;
+    FakeInstance *Best = *std::max_element(
+        Candidates.begin(), Candidates.end(),
+        [](const FakeInstance *Left, const FakeInstance *Right) {
+          return Left->position() < Right->position();
+        });
+    m_StartIndex = Best->promote(Best->m_SealedTerm);
+    return Best;
+  }
+  void elect(const FakeInstance &Primary) {
+    change(ElectPrimary{
+        {"db"}, Primary.m_Name, {Primary.m_SealedTerm, m_StartIndex}});
+  }
+  bool failOver() {
+    uint64_t Term = beginTerm();
+    FakeInstance *Primary = promote(sealAll(Term));
+    if (Primary != nullptr)
+      elect(*Primary);
+    publish();
+    return Primary != nullptr;
+  }
+
+  // Faults.
+  void kill(const std::string &Name) {
+    FakeInstance &Victim = instance(Name);
+    Victim.m_IsUp = false;
+    Victim.restart();
+    for (const std::pair<const FakeConnectionKey, InstanceName> &Entry :
+         m_Connections)
+      if (Entry.second == Victim.m_Name)
+        reset(Entry.first);
+    m_Jobs[Victim.m_Name].clear();
+    m_Running[Victim.m_Name] = 0;
+    ++m_Lives[Victim.m_Name];
+  }
+  void restart(const std::string &Name) { instance(Name).m_IsUp = true; }
+  void cutOwner(size_t Owner, const std::string &Name) {
+    m_Owners[Owner]->m_Unreachable.insert({Name});
+  }
+  void heal() {
+    for (std::unique_ptr<SimulatedOwner> &Owner : m_Owners) {
+      Owner->m_Unreachable.clear();
+      Owner->m_IsIsolated = false;
+    }
+    m_ControlCut.clear();
+    m_ReplicationCut.clear();
+  }
+  /// Breaks a connection; an answer that was outstanding is lost.
+  void reset(const FakeConnectionKey &Key) {
+    auto Found = m_Connections.find(Key);
+    if (Found == m_Connections.end())
+      return;
+    m_Instances.at(Found->second)->m_Transactions.erase(Key);
+    m_Broken.insert(Key);
+    at(latency(), [this, Key] {
+      deliver(Key.first, [&](OwnerController &Owner) {
+        if (m_Outstanding.erase(Key) > 0)
+          Owner.handle(
+              InstanceAnswered{{Key.second}, InstanceFailure{"reset", false}},
+              m_Now);
+        else
+          Owner.handle(ConnectionClosed{{Key.second}}, m_Now);
+      });
+    });
+  }
+
+  Duration latency() {
+    Duration Extra{};
+    if (m_Options.m_Jitter > Duration{})
+      Extra = Duration(static_cast<int64_t>(
+          m_Random() % static_cast<uint64_t>(m_Options.m_Jitter.count())));
+    return m_Options.m_Latency + Extra;
+  }
+
+  struct Submitted {
+    Time m_At{};
+    Time m_Deadline{};
+  };
+  Options m_Options;
+  std::mt19937_64 m_Random;
+  Configuration m_Configuration;
+  std::vector<std::unique_ptr<SimulatedOwner>> m_Owners;
+  std::map<InstanceName, std::unique_ptr<FakeInstance>> m_Instances;
+  std::map<uint64_t, Submitted> m_Submitted;
+  std::map<uint64_t, RequestResult> m_Results;
+  std::map<uint64_t, Time> m_CompletedAt;
+  /// Set when a request completed twice or after its deadline.
+  std::string m_CompletionFault;
+  std::set<InstanceName> m_ControlCut;
+  /// Instances that do not replicate.
+  std::set<InstanceName> m_ReplicationCut;
+  /// Called for each statement that an owner sends, before it is delivered.
+  std::function<void(const InstanceName &, const SendStatement &)> m_OnSend;
+  /// Called for each completed request.
+  std::function<void(uint64_t, const RequestResult &)> m_OnCompleted;
+  std::map<InstanceName, size_t> m_MaxOutstanding;
+  std::map<InstanceName, size_t> m_OpenConnections;
+
+private:
+  struct Event {
+    Time m_At{};
+    uint64_t m_Number = 0;
+    std::function<void()> m_Action;
+
+    friend bool operator<(const Event &Left, const Event &Right) {
+      return std::pair(Left.m_At, Left.m_Number) >
+             std::pair(Right.m_At, Right.m_Number);
+    }
+  };
+  struct Job {
+    FakeConnectionKey m_Key;
+    SendStatement m_Statement;
+  };
+
+  void addInstance(const std::string &Name) {
+    m_Instances[{Name}] = std::make_unique<FakeInstance>(InstanceName{Name});
+    InstanceRecord Record;
+    Record.m_Database = {"db"};
+    Record.m_Name = {Name};
+    Record.m_Zone = {"zone"};
+    Record.m_Statements = {"127.0.0.1",
+                           static_cast<uint16_t>(m_Instances.size())};
+    Record.m_Platform = Record.m_Statements;
+    Record.m_Slots = m_Options.m_Slots;
+    Record.m_ConnectionLimit = m_Options.m_ConnectionLimit;
+    Record.m_GroupSize = static_cast<uint32_t>(m_Options.m_Instances);
+    m_ByPort[Record.m_Statements.m_Port] = {Name};
+    change(RegisterInstance{Record});
+  }
+
+  void tickOwners() {
+    for (size_t Index = 0; Index < m_Owners.size(); ++Index) {
+      SimulatedOwner &Owner = *m_Owners[Index];
+      if (!Owner.m_IsIsolated)
+        Owner.m_Board.m_FreshAt = m_Now;
+      Owner.m_Controller->tick(m_Now);
+      collect(Index);
+    }
+    at(milliseconds(5), [this] { tickOwners(); });
+  }
+
+  void replicate() {
+    FakeInstance *Primary = primary();
+    if (Primary != nullptr && Primary->m_IsUp &&
+        !m_ReplicationCut.contains(Primary->m_Name))
+      for (auto &Entry : m_Instances) {
+        FakeInstance &Follower = *Entry.second;
+        if (&Follower == Primary || !Follower.m_IsUp ||
+            m_ReplicationCut.contains(Entry.first) ||
+            Follower.m_SealedTerm > Primary->m_SealedTerm)
+          continue;
+        Follower.seal(Primary->m_SealedTerm);
+        Follower.replicateFrom(*Primary, m_Options.m_Batch);
+      }
+    answerWaits();
+    at(m_Options.m_Latency * 2, [this] { replicate(); });
+  }
+
+  void deliver(size_t Owner,
+               const std::function<void(OwnerController &)> &Event) {
+    Event(*m_Owners[Owner]->m_Controller);
+    collect(Owner);
+  }
+
+  bool isCut(size_t Owner, const InstanceName &Name) const {
+    return m_Owners[Owner]->m_Unreachable.contains(Name);
+  }
+
+  void collect(size_t Owner) {
+    OwnerController &Controller = *m_Owners[Owner]->m_Controller;
+    for (CompletedRequest &Done : Controller.takeCompleted()) {
+      uint64_t Ticket = Done.m_Ticket.m_Value;
+      if (m_Results.contains(Ticket))
+        m_CompletionFault = "completed twice";
+      if (m_Now > m_Submitted.at(Ticket).m_Deadline)
+        m_CompletionFault = "completed late";
+      m_Results[Ticket] = Done.m_Result;
+      m_CompletedAt[Ticket] = m_Now;
+      if (m_OnCompleted)
+        m_OnCompleted(Ticket, Done.m_Result);
+    }
+    for (ProxyAction &Action : Controller.takeActions())
+      perform(Owner, Action);
+  }
+
+  void perform(size_t Owner, const ProxyAction &Action) {
+    if (const OpenConnection *Open = std::get_if<OpenConnection>(&Action)) {
+      m_Connections[{Owner, Open->m_Connection.m_Value}] =
+          m_ByPort.at(Open->m_Instance.m_Port);
+      ++m_OpenConnections[m_ByPort.at(Open->m_Instance.m_Port)];
+    } else if (const CloseConnection *Close =
+                   std::get_if<CloseConnection>(&Action)) {
+      closeConnection({Owner, Close->m_Connection.m_Value});
+    } else if (const SendStatement *Sent = std::get_if<SendStatement>(&Action))
+      sendStatement({Owner, Sent->m_Connection.m_Value}, *Sent);
+    else if (const ProbeInstance *Probe = std::get_if<ProbeInstance>(&Action))
+      probe(Owner, *Probe);
+  }
+
+  void closeConnection(const FakeConnectionKey &Key) {
+    InstanceName Name = m_Connections.at(Key);
+    --m_OpenConnections[Name];
+    m_Outstanding.erase(Key);
+    at(latency(), [this, Key, Name] {
+      if (!isCut(Key.first, Name))
+        m_Instances.at(Name)->m_Transactions.erase(Key);
+    });
+  }
+
+  void sendStatement(const FakeConnectionKey &Key, const SendStatement &Sent) {
+    const InstanceName Name = m_Connections.at(Key);
+    if (m_OnSend)
+      m_OnSend(Name, Sent);
+    m_Outstanding.insert(Key);
+    size_t Count = 0;
+    for (const FakeConnectionKey &Other : m_Outstanding)
+      Count += Other.first == Key.first && m_Connections.at(Other) == Name &&
+                       Sent.m_RequestId != "/warm-up"
+                   ? 1
+                   : 0;
+    m_MaxOutstanding[Name] = std::max(m_MaxOutstanding[Name], Count);
+    at(latency(), [this, Key, Name, Sent] {
+      FakeInstance &Target = *m_Instances.at(Name);
+      if (isCut(Key.first, Name) || m_Broken.contains(Key))
+        return;
+      if (!Target.m_IsUp) {
+        answer(Key, InstanceFailure{"refused", true});
+        return;
+      }
+      m_Jobs[Name].push_back({Key, Sent});
+      startJobs(Name);
+    });
+  }
+
+  void startJobs(const InstanceName &Name) {
+    std::deque<Job> &Waiting = m_Jobs[Name];
+    while (m_Running[Name] < m_Options.m_Slots && !Waiting.empty()) {
+      Job Next = Waiting.front();
+      Waiting.pop_front();
+      ++m_Running[Name];
+      uint64_t Life = m_Lives[Name];
+      at(m_Options.m_Service, [this, Next, Name, Life] {
+        if (m_Lives[Name] != Life)
+          return;
+        --m_Running[Name];
+        InstanceAnswer Answer =
+            m_Instances.at(Name)->execute(Next.m_Key, Next.m_Statement);
+        answerWaits();
+        answer(Next.m_Key, Answer);
+        startJobs(Name);
+      });
+    }
+  }
+
+  void answer(const FakeConnectionKey &Key,
+              const std::variant<InstanceAnswer, InstanceFailure> &Result) {
+    at(latency(), [this, Key, Result] {
+      if (isCut(Key.first, m_Connections.at(Key)) || m_Broken.contains(Key))
+        return;
+      m_Outstanding.erase(Key);
+      deliver(Key.first, [&](OwnerController &Owner) {
+        Owner.handle(InstanceAnswered{{Key.second}, Result}, m_Now);
+      });
+    });
+  }
+
+  void probe(size_t Owner, const ProbeInstance &Asked) {
+    const InstanceName Name = m_ByPort.at(Asked.m_Platform.m_Port);
+    uint64_t Number = m_NextWait++;
+    // A probe that is not answered in time fails.
+    m_Probes[Number] = {Owner, Asked, Name};
+    at(milliseconds(Asked.m_TimeoutMs), [this, Number] {
+      auto Found = m_Probes.find(Number);
+      if (Found == m_Probes.end())
+        return;
+      PendingProbe Failed = Found->second;
+      m_Probes.erase(Found);
+      deliver(Failed.m_Owner, [&](OwnerController &Controller) {
+        Controller.handle(ProbeAnswered{Failed.m_Asked.m_Probe, {}}, m_Now);
+      });
+    });
+    at(latency(), [this, Number] {
+      auto Found = m_Probes.find(Number);
+      if (Found == m_Probes.end() ||
+          isCut(Found->second.m_Owner, Found->second.m_Instance))
+        return;
+      Found->second.m_HasArrived = true;
+      answerWaits();
+    });
+  }
+
+  void answerWaits() {
+    for (auto It = m_Probes.begin(); It != m_Probes.end();) {
+      uint64_t Number = It->first;
+      PendingProbe &Waiting = It->second;
+      ++It;
+      FakeInstance &Asked = *m_Instances.at(Waiting.m_Instance);
+      if (!Waiting.m_HasArrived || Waiting.m_IsAnswered)
+        continue;
+      if (Asked.m_IsUp && Waiting.m_Asked.m_WaitFor &&
+          Asked.position() < *Waiting.m_Asked.m_WaitFor)
+        continue;
+      Waiting.m_IsAnswered = true;
+      std::optional<InstanceStatus> Status;
+      if (Asked.m_IsUp)
+        Status = Asked.status();
+      at(latency(), [this, Number, Status] {
+        auto Found = m_Probes.find(Number);
+        if (Found == m_Probes.end() ||
+            isCut(Found->second.m_Owner, Found->second.m_Instance))
+          return;
+        PendingProbe Done = Found->second;
+        m_Probes.erase(Found);
+        deliver(Done.m_Owner, [&](OwnerController &Controller) {
+          Controller.handle(ProbeAnswered{Done.m_Asked.m_Probe, Status}, m_Now);
+        });
+      });
+    }
+  }
+
+  struct PendingProbe {
+    size_t m_Owner = 0;
+    ProbeInstance m_Asked;
+    InstanceName m_Instance;
+    bool m_HasArrived = false;
+    bool m_IsAnswered = false;
+  };
+
+  Time m_Now{seconds(1'000)};
+  std::priority_queue<Event> m_Events;
+  uint64_t m_NextEvent = 0;
+  uint64_t m_NextTicket = 1;
+  uint64_t m_NextWait = 1;
+  uint64_t m_StartIndex = 0;
+  std::map<uint16_t, InstanceName> m_ByPort;
+  std::map<FakeConnectionKey, InstanceName> m_Connections;
+  std::set<FakeConnectionKey> m_Broken;
+  std::set<FakeConnectionKey> m_Outstanding;
+  std::map<uint64_t, PendingProbe> m_Probes;
+  std::map<InstanceName, std::deque<Job>> m_Jobs;
+  std::map<InstanceName, size_t> m_Running;
+  std::map<InstanceName, uint64_t> m_Lives;
+};
+
+} // namespace almondpier::testing
