--- /dev/null
+++ b/src/decision/control/ChangeController.cpp
@@ -0,0 +1,129 @@
+#include "decision/control/ChangeController.h"
+
+namespace almondpier {
+
+namespace {
+
+/// Longer than the election of a leader, so that a short fault does not leave
+/// an outcome unknown.
+constexpr Duration kOutcomeTimeout = std::chrono::seconds(3);
+constexpr size_t kMaxChangeBytes = 512U << 10U;
+
+ErrorReport refusal(ErrorKind Kind, const std::string &Message) {
+  return ErrorReport{Kind, Error(Kind, Message).what(), Ran::No, 0};
+}
+
+void reply(OperationId Id, const ChangeOutcome &Outcome,
+           ControlContext &Context) {
+  ReplyToOperation Reply;
+  Reply.m_Id = Id;
+  Reply.m_Outcome = Outcome;
+  Context.m_Actions.push_back(std::move(Reply));
+}
+
+void reply(OperationId Id, const ErrorReport &Error, ControlContext &Context) {
+  ReplyToOperation Reply;
+  Reply.m_Id = Id;
+  Reply.m_Error = Error;
+  Context.m_Actions.push_back(std::move(Reply));
+}
+
+} // namespace
+
+void ChangeController::submit(const OperatorChange &Event,
+                              ControlContext &Context) {
+  if (!Context.m_Board.m_IsLeader || Context.m_Board.m_IsShuttingDown)
+    return Context.refuseAsFollower(Event.m_Id);
+  if (!isValidName(Event.m_Change.m_ChangeId))
+    return reply(Event.m_Id,
+                 refusal(ErrorKind::BadRequest,
+                         "a change identifier has 1 to 64 letters, digits, "
+                         "'.', '_' or '-'"),
+                 Context);
+  if (!isOperatorChange(Event.m_Change.m_Body))
+    return reply(
+        Event.m_Id,
+        refusal(ErrorKind::BadRequest, "only the system makes this change"),
+        Context);
+  if (std::optional<ChangeOutcome> First =
+          Context.m_Board.m_State.outcomes().find(Event.m_Change))
+    return reply(Event.m_Id, *First, Context);
+  std::string Data = encode(Event.m_Change);
+  if (Data.size() > kMaxChangeBytes)
+    return reply(Event.m_Id,
+                 refusal(ErrorKind::BodyTooLarge,
+                         "a change has at most 512 KiB"),
+                 Context);
+  std::optional<uint64_t> Index =
+      Context.m_Log.propose(std::move(Data), Context.m_Now);
+  if (!Index)
+    return Context.refuseAsFollower(Event.m_Id);
+  wait(Event.m_Id, *Index, Context);
+}
+
+void ChangeController::submitMembership(OperationId Id,
+                                        const Membership &Target,
+                                        const Change &Record,
+                                        ControlContext &Context) {
+  if (std::optional<ChangeOutcome> First =
+          Context.m_Board.m_State.outcomes().find(Record))
+    return reply(Id, *First, Context);
+  std::optional<uint64_t> Index = Context.m_Log.proposeMembership(
+      Target, encode(Record), Context.m_Now);
+  if (!Index)
+    return reply(Id,
+                 ErrorReport{ErrorKind::Overloaded,
+                             "another change of the membership is in progress; "
+                             "retry in a second",
+                             Ran::No, 1'000},
+                 Context);
+  wait(Id, *Index, Context);
+}
+
+void ChangeController::wait(OperationId Id, uint64_t Index,
+                            ControlContext &Context) {
+  m_Waiting.emplace(Index, Waiting{Id, Context.m_Log.term(),
+                                   Context.m_Now + kOutcomeTimeout});
+}
+
+void ChangeController::replyUnknown(OperationId Id, ControlContext &Context) {
+  reply(Id,
+        ErrorReport{ErrorKind::OutcomeUnknown,
+                    "the outcome of the change is not known; send it again "
+                    "with the same change identifier",
+                    Ran::Unknown, 0},
+        Context);
+}
+
+void ChangeController::onApplied(const LogEntry &Entry,
+                                 const ChangeOutcome &Outcome,
+                                 ControlContext &Context) {
+  auto Range = m_Waiting.equal_range(Entry.m_Index);
+  for (auto It = Range.first; It != Range.second; ++It) {
+    // An entry of another leader may have taken the index.
+    if (It->second.m_Term == Entry.m_Term)
+      reply(It->second.m_Id, Outcome, Context);
+    else
+      replyUnknown(It->second.m_Id, Context);
+  }
+  m_Waiting.erase(Range.first, Range.second);
+}
+
+void ChangeController::onLeadershipLost(ControlContext &Context) {
+  for (const std::pair<const uint64_t, Waiting> &Entry : m_Waiting)
+    replyUnknown(Entry.second.m_Id, Context);
+  m_Waiting.clear();
+}
+
+void ChangeController::tick(ControlContext &Context) {
+  for (auto It = m_Waiting.begin(); It != m_Waiting.end();) {
+    if (Context.m_Now < It->second.m_Until) {
+      ++It;
+      continue;
+    }
+    replyUnknown(It->second.m_Id, Context);
+    It = m_Waiting.erase(It);
+  }
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/ChangeController.h
@@ -0,0 +1,39 @@
+/// \file
+/// Changes by operators: from the request to the outcome.
+#pragma once
+
+#include "decision/control/ControlBlackboard.h"
+
+namespace almondpier {
+
+/// Proposes changes and answers them once they are applied. A change whose
+/// outcome cannot be known is answered with OutcomeUnknown; the operator sends
+/// it again with the same identifier.
+class ChangeController {
+public:
+  void submit(const OperatorChange &Event, ControlContext &Context);
+  /// Proposes a change of the membership; the outcome answers Id.
+  void submitMembership(OperationId Id, const Membership &Target,
+                        const Change &Record, ControlContext &Context);
+  void onApplied(const LogEntry &Entry, const ChangeOutcome &Outcome,
+                 ControlContext &Context);
+  void onLeadershipLost(ControlContext &Context);
+  void tick(ControlContext &Context);
+  /// Whether operations wait for an outcome.
+  bool isIdle() const { return m_Waiting.empty(); }
+
+private:
+  struct Waiting {
+    OperationId m_Id;
+    uint64_t m_Term = 0;
+    Time m_Until;
+  };
+
+  void wait(OperationId Id, uint64_t Index, ControlContext &Context);
+  static void replyUnknown(OperationId Id, ControlContext &Context);
+
+  /// By log index.
+  std::multimap<uint64_t, Waiting> m_Waiting;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -0,0 +1,45 @@
+#include "decision/control/ControlBlackboard.h"
+
+namespace almondpier {
+
+const ControlMember *ControlBlackboard::findMember(MemberId Id) const {
+  for (const ControlMember &Member : m_Membership.m_Voters)
+    if (Member.m_Id == Id)
+      return &Member;
+  for (const ControlMember &Member : m_Membership.m_Learners)
+    if (Member.m_Id == Id)
+      return &Member;
+  return nullptr;
+}
+
+void ControlContext::proposeBySystem(const ChangeBody &Body,
+                                     const std::string &Actor) {
+  Change Proposed;
+  Proposed.m_Actor = Actor;
+  Proposed.m_ExpectedVersion = m_Board.configuration().version();
+  Proposed.m_WallTimeMs = m_Board.m_WallTimeMs;
+  Proposed.m_Body = Body;
+  m_Log.propose(encode(Proposed), m_Now);
+}
+
+void ControlContext::reportStateChange(std::string Text) {
+  m_Actions.push_back(ReportStateChange{std::move(Text)});
+}
+
+void ControlContext::refuseAsFollower(OperationId Id) {
+  ReplyToOperation Reply;
+  Reply.m_Id = Id;
+  const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader);
+  bool IsKnown = Leader != nullptr && Leader->m_Id != m_Board.m_Self.m_Id;
+  Reply.m_Error = ErrorReport{
+      ErrorKind::NotLeader,
+      IsKnown ? "control host '" + Leader->m_Host.m_Value + "' leads, at " +
+                    formatEndpoint(Leader->m_Operations)
+              : "no control host is known to lead",
+      Ran::No, 0};
+  if (IsKnown)
+    Reply.m_Leader = Leader->m_Operations;
+  m_Actions.push_back(std::move(Reply));
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/ControlBlackboard.h
@@ -0,0 +1,81 @@
+/// \file
+/// State shared by the controllers of a control host.
+#pragma once
+
+#include "decision/control/ControlEvents.h"
+#include "decision/control/ControlState.h"
+
+namespace almondpier {
+
+/// The latest heartbeat of a proxy.
+struct HostHealth {
+  Time m_HeardAt;
+  bool m_Ready = false;
+  uint64_t m_AppliedIndex = 0;
+  std::vector<InstanceReport> m_Reports;
+};
+
+/// One finished change of primary, with the time each step took.
+struct FailoverRecord {
+  DatabaseName m_Database;
+  uint64_t m_Term = 0;
+  InstanceName m_Primary;
+  std::string m_Reason;
+  /// Wall-clock time of the end in milliseconds since 1970.
+  uint64_t m_WallTimeMs = 0;
+  Duration m_Begin{};
+  Duration m_Seal{};
+  Duration m_Promote{};
+  Duration m_Publish{};
+  Duration m_Total{};
+};
+
+/// Each section is written by the controller named there.
+struct ControlBlackboard {
+  /// Written by the core.
+  ControlMember m_Self;
+  /// This host leads and has applied an entry of its own term, and with it
+  /// everything committed before.
+  bool m_IsLeader = false;
+  uint64_t m_Term = 0;
+  /// When this host began to lead in m_Term.
+  Time m_LeaderSince;
+  /// The member believed to lead; 0 when unknown.
+  MemberId m_Leader;
+  Membership m_Membership;
+  uint64_t m_WallTimeMs = 0;
+  bool m_IsShuttingDown = false;
+  ControlState m_State;
+
+  /// Written by the liveness controller. The list is empty and not yet known
+  /// when m_LiveHosts.m_Version is 0.
+  LiveHosts m_LiveHosts;
+  std::map<HostName, HostHealth> m_Health;
+
+  /// Written by the failover controller: the last changes of primary, and the
+  /// step of each one in progress.
+  std::vector<FailoverRecord> m_Failovers;
+  std::map<DatabaseName, std::string> m_FailoverSteps;
+
+  const Configuration &configuration() const {
+    return m_State.configuration();
+  }
+  /// Returns the member with this identifier, or null.
+  const ControlMember *findMember(MemberId Id) const;
+};
+
+/// What a controller needs to act on an event.
+struct ControlContext {
+  const ControlBlackboard &m_Board;
+  Consensus &m_Log;
+  ControlActions &m_Actions;
+  Time m_Now;
+
+  /// Appends a change by the system to the log, at the leader.
+  void proposeBySystem(const ChangeBody &Body, const std::string &Actor);
+  void reportStateChange(std::string Text);
+  /// Refuses an operation because another host leads.
+  void refuseAsFollower(OperationId Id);
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/ControlCore.cpp
@@ -0,0 +1,471 @@
+#include "decision/control/ControlCore.h"
+
+#include "decision/control/AllocatorController.h"
+#include "decision/control/AnnouncementController.h"
+#include "decision/control/ChangeController.h"
+#include "decision/control/FailoverController.h"
+#include "decision/control/FeedController.h"
+#include "decision/control/LivenessController.h"
+#include "decision/control/MembershipController.h"
+#include "decision/control/PeerLinks.h"
+
+#include <algorithm>
+
+namespace almondpier {
+
+namespace {
+
+constexpr uint64_t kCompactionInterval = 500;
+constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
+/// Longest time for a successor to take over before the process ends.
+constexpr Duration kShutdownLimit = std::chrono::seconds(3);
+
+} // namespace
+
+PersistedLog bootstrapLog(const ControlMember &Self) {
+  constexpr uint64_t kFirst = 1;
+  PersistedLog Log;
+  Log.m_HardState.m_Term = kFirst;
+  Log.m_Snapshot.m_Term = kFirst;
+  Log.m_Snapshot.m_Index = kFirst;
+  Log.m_Snapshot.m_Membership.m_Voters = {Self};
+  Log.m_Snapshot.m_Data = ControlState::initial(kFirst, kFirst).encoded();
+  return Log;
+}
+
+struct ControlCore::State {
+  ControlOptions m_Options;
+  ControlBlackboard m_Board;
+  std::unique_ptr<Consensus> m_Log;
+  PeerLinks m_Links;
+  ChangeController m_Changes;
+  FeedController m_Feed;
+  LivenessController m_Liveness;
+  AllocatorController m_Allocator;
+  FailoverController m_Failover;
+  MembershipController m_Membership;
+  AnnouncementController m_Announcements;
+  uint64_t m_ClusterId = 0;
+  uint64_t m_AppliedSinceStart = 0;
+  uint64_t m_Snapshots = 0;
+  std::optional<Time> m_JoinedAt;
+  std::optional<Time> m_ShutdownUntil;
+  bool m_IsShutdownComplete = false;
+
+  State(const ControlOptions &Options, Time Now)
+      : m_Options(Options), m_Feed(m_Board), m_Liveness(m_Board, Now),
+        m_Allocator(m_Board), m_Failover(m_Board),
+        m_Membership(m_Board, m_Changes), m_Announcements(m_Board),
+        m_ClusterId(Options.m_ClusterId) {
+    m_Board.m_Self = Options.m_Self;
+    if (m_ClusterId != 0)
+      openLog(Now);
+  }
+
+  void openLog(Time Now) {
+    const Snapshot &Base = m_Options.m_Log.m_Snapshot;
+    if (!Base.m_Data.empty())
+      m_Board.m_State = ControlState::decoded(Base.m_Data);
+    m_Feed.onSnapshotInstalled();
+    ConsensusOptions Options;
+    Options.m_Self = m_Board.m_Self.m_Id;
+    Options.m_ClusterId = m_ClusterId;
+    Options.m_Seed = m_Options.m_Seed;
+    m_Log = std::make_unique<Consensus>(Options, std::move(m_Options.m_Log), Now);
+  }
+
+  ControlContext contextOf(ControlActions &Actions, Time Now) {
+    return ControlContext{m_Board, *m_Log, Actions, Now};
+  }
+
+  // Events.
+
+  void handle(const ControlEvent &Event, Time Now, ControlActions &Actions) {
+    m_Links.setPeers(wantedPeers(), Actions, Now);
+    if (!m_Log) {
+      handleWhileJoining(Event, Now, Actions);
+      if (!m_Log)
+        return;
+    }
+    ControlContext Context = contextOf(Actions, Now);
+    std::visit([&](const auto &Value) { on(Value, Context); }, Event);
+    carryOutLog(Context);
+  }
+
+  void handleWhileJoining(const ControlEvent &Event, Time Now,
+                          ControlActions &Actions) {
+    if (const ClockTick *Tick = std::get_if<ClockTick>(&Event)) {
+      m_Board.m_WallTimeMs = Tick->m_WallTimeMs;
+      m_Links.tick(Actions, Now);
+      askToJoin(Actions, Now);
+    } else if (const LinkOpened *Opened = std::get_if<LinkOpened>(&Event)) {
+      m_Links.onOpened(Opened->m_Link, Now);
+    } else if (const LinkClosed *Closed = std::get_if<LinkClosed>(&Event)) {
+      m_Links.onClosed(Closed->m_Link, Now);
+    } else if (const MessageReceived *Received =
+                   std::get_if<MessageReceived>(&Event)) {
+      m_Links.onReceived(Received->m_Link, Now);
+      if (std::holds_alternative<Ping>(Received->m_Message))
+        echoPing(Received->m_Link, Actions);
+      const ConsensusMessage *Message =
+          std::get_if<ConsensusMessage>(&Received->m_Message);
+      if (Message != nullptr && Message->m_To == m_Board.m_Self.m_Id &&
+          Message->m_ClusterId != 0)
+        adoptCluster(Message->m_ClusterId, Now, Actions);
+    } else if (std::holds_alternative<ShutdownRequested>(Event)) {
+      Actions.push_back(ShutdownComplete{});
+    } else {
+      refuseWhileJoining(Event, Actions);
+    }
+  }
+
+  static void refuseWhileJoining(const ControlEvent &Event,
+                                 ControlActions &Actions) {
+    ReplyToOperation Reply;
+    Reply.m_Error = ErrorReport{ErrorKind::NotLeader,
+                                "this control host has not joined a cluster",
+                                Ran::No, 0};
+    if (const OperatorChange *Change = std::get_if<OperatorChange>(&Event))
+      Reply.m_Id = Change->m_Id;
+    else if (const OperatorRead *Read = std::get_if<OperatorRead>(&Event))
+      Reply.m_Id = Read->m_Id;
+    else if (const OperatorRemoveMember *Remove =
+                 std::get_if<OperatorRemoveMember>(&Event))
+      Reply.m_Id = Remove->m_Id;
+    else if (const InstanceAnnounced *Announced =
+                 std::get_if<InstanceAnnounced>(&Event))
+      Reply.m_Id = Announced->m_Id;
+    else
+      return;
+    Actions.push_back(std::move(Reply));
+  }
+
+  void adoptCluster(uint64_t ClusterId, Time Now, ControlActions &Actions) {
+    m_ClusterId = ClusterId;
+    Actions.push_back(PersistCluster{ClusterId});
+    Actions.push_back(ReportStateChange{"joins the cluster as a learner"});
+    openLog(Now);
+  }
+
+  void askToJoin(ControlActions &Actions, Time Now) {
+    if (m_JoinedAt && Now - *m_JoinedAt < kJoinInterval)
+      return;
+    m_JoinedAt = Now;
+    m_Links.sendToAll(JoinRequest{m_Board.m_Self}, Actions);
+  }
+
+  bool isJoining() const {
+    return m_Board.m_Membership.m_Voters.empty();
+  }
+
+  std::set<Endpoint> wantedPeers() const {
+    std::set<Endpoint> Peers;
+    if (isJoining())
+      Peers.insert(m_Options.m_JoinPeers.begin(), m_Options.m_JoinPeers.end());
+    for (const std::vector<ControlMember> *Members :
+         {&m_Board.m_Membership.m_Voters, &m_Board.m_Membership.m_Learners})
+      for (const ControlMember &Member : *Members)
+        Peers.insert(Member.m_Peer);
+    Peers.erase(m_Board.m_Self.m_Peer);
+    return Peers;
+  }
+
+  void on(const OperatorChange &Event, ControlContext &Context) {
+    m_Changes.submit(Event, Context);
+  }
+  void on(const OperatorRead &Event, ControlContext &Context) {
+    if (!m_Board.m_IsLeader)
+      return Context.refuseAsFollower(Event.m_Id);
+    m_Feed.onRead(Event.m_Id, Context.m_Now);
+    m_Feed.tick(Context);
+  }
+  void on(const OperatorRemoveMember &Event, ControlContext &Context) {
+    m_Membership.onRemove(Event, Context);
+  }
+  void on(const InstanceAnnounced &Event, ControlContext &Context) {
+    if (std::optional<RelayAnnouncement> Relay =
+            m_Announcements.onAnnounced(Event, Context))
+      sendToLeader(*Relay, Context);
+  }
+  void on(const DatagramReceived &Event, ControlContext &Context) {
+    if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Event.m_Message))
+      m_Liveness.onHeartbeat(*Beat, Context.m_Now);
+  }
+  void on(const InstanceCallAnswered &Event, ControlContext &Context) {
+    if (m_Board.m_IsLeader)
+      m_Failover.onAnswered(Event, Context);
+  }
+  void on(const LinkOpened &Event, ControlContext &Context) {
+    m_Links.onOpened(Event.m_Link, Context.m_Now);
+  }
+  void on(const LinkClosed &Event, ControlContext &Context) {
+    m_Links.onClosed(Event.m_Link, Context.m_Now);
+    m_Feed.onLinkClosed(Event.m_Link);
+  }
+  void on(const MessageReceived &Event, ControlContext &Context) {
+    m_Links.onReceived(Event.m_Link, Context.m_Now);
+    std::visit(
+        [&](const auto &Value) { onMessage(Event.m_Link, Value, Context); },
+        Event.m_Message);
+  }
+  void on(const ShutdownRequested & /*Event*/, ControlContext &Context) {
+    if (m_Board.m_IsShuttingDown)
+      return;
+    m_Board.m_IsShuttingDown = true;
+    m_ShutdownUntil = Context.m_Now + kShutdownLimit;
+  }
+  void on(const ClockTick &Event, ControlContext &Context) {
+    m_Board.m_WallTimeMs = Event.m_WallTimeMs;
+    m_Log->tick(Context.m_Now);
+    carryOutLog(Context);
+    m_Links.tick(Context.m_Actions, Context.m_Now);
+    m_Changes.tick(Context);
+    m_Liveness.tick(Context);
+    for (const HostRecord &Host : m_Liveness.takeRelays())
+      relayHost(Host, Context);
+    m_Feed.tick(Context);
+    if (std::optional<ReadIndexRequest> Request = m_Feed.takeLeaderRequest())
+      sendToLeader(*Request, Context);
+    m_Allocator.tick(Context);
+    m_Failover.tick(Context);
+    m_Membership.tick(Context);
+    if (isJoining())
+      askToJoin(Context.m_Actions, Context.m_Now);
+    continueShutdown(Context);
+  }
+
+  void continueShutdown(ControlContext &Context) {
+    if (!m_ShutdownUntil || m_IsShutdownComplete)
+      return;
+    bool IsDue = Context.m_Now >= *m_ShutdownUntil;
+    if (!m_Changes.isIdle() && !IsDue)
+      return;
+    if (m_Log->isLeader() && m_Board.m_Membership.m_Voters.size() > 1 &&
+        !IsDue) {
+      m_Log->transferLeadership(Context.m_Now);
+      return;
+    }
+    m_IsShutdownComplete = true;
+    Context.m_Actions.push_back(ShutdownComplete{});
+  }
+
+  // Messages.
+
+  static void echoPing(LinkId Link, ControlActions &Actions) {
+    // Links with even numbers were opened by the other side, which pings.
+    if (Link.m_Value % 2 == 0)
+      Actions.push_back(SendMessage{Link, Ping{}});
+  }
+  void onMessage(LinkId Link, const Ping & /*Message*/,
+                 ControlContext &Context) {
+    echoPing(Link, Context.m_Actions);
+  }
+  void onMessage(LinkId /*Link*/, const ConsensusMessage &Message,
+                 ControlContext &Context) {
+    m_Log->receive(Message, Context.m_Now);
+  }
+  void onMessage(LinkId Link, const ReadIndexRequest &Message,
+                 ControlContext &Context) {
+    if (!m_Board.m_IsLeader)
+      return;
+    m_Feed.onReadIndexRequest(Link, Message, Context.m_Now);
+    m_Feed.tick(Context);
+  }
+  void onMessage(LinkId /*Link*/, const ReadIndexReply &Message,
+                 ControlContext &Context) {
+    m_Liveness.onLeaderList(Message.m_LiveHosts);
+    m_Feed.onReadIndexReply(Message, Context);
+  }
+  void onMessage(LinkId /*Link*/, const JoinRequest &Message,
+                 ControlContext &Context) {
+    if (m_Board.m_IsLeader)
+      m_Membership.onJoinRequest(Message, Context);
+    else if (Message.m_Member.m_Id != m_Board.m_Self.m_Id)
+      sendToLeader(Message, Context);
+  }
+  void onMessage(LinkId /*Link*/, const ProposeRequest &Message,
+                 ControlContext &Context) {
+    const RegisterHost *Registration =
+        std::get_if<RegisterHost>(&Message.m_Change.m_Body);
+    if (Registration != nullptr && m_Board.m_IsLeader)
+      m_Liveness.onHostRecord(Registration->m_Host, Context);
+  }
+  void onMessage(LinkId /*Link*/, const RelayAnnouncement &Message,
+                 ControlContext &Context) {
+    m_Announcements.onRelayed(Message, Context);
+  }
+  void onMessage(LinkId Link, const PollRequest &Message,
+                 ControlContext &Context) {
+    m_Liveness.onHostRecord(Message.m_Host, Context);
+    m_Feed.onPoll(Link, Message, Context.m_Now);
+  }
+  void onMessage(LinkId Link, const TokenRequest &Message,
+                 ControlContext &Context) {
+    m_Allocator.onRequest(Link, Message, Context);
+  }
+  void onMessage(LinkId /*Link*/, const TokenReturn &Message,
+                 ControlContext &Context) {
+    m_Allocator.onReturn(Message, Context);
+  }
+  /// Messages that no control host expects on a link.
+  template <typename Other>
+  void onMessage(LinkId /*Link*/, const Other & /*Message*/,
+                 ControlContext & /*Context*/) {}
+
+  void sendToLeader(const Message &Message, ControlContext &Context) {
+    const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader);
+    if (Leader != nullptr)
+      m_Links.send(Leader->m_Peer, Message, Context.m_Actions);
+  }
+
+  void relayHost(const HostRecord &Host, ControlContext &Context) {
+    ProposeRequest Request;
+    Request.m_Change.m_Actor = Host.m_Name.m_Value;
+    Request.m_Change.m_Body = RegisterHost{Host};
+    sendToLeader(Request, Context);
+  }
+
+  // Log.
+
+  void carryOutLog(ControlContext &Context) {
+    // Applying entries can lead to new ones.
+    for (ConsensusOutput Output = m_Log->takeOutput(); !Output.empty();
+         Output = m_Log->takeOutput())
+      carryOut(Output, Context);
+    updateLeadership(Context);
+  }
+
+  void carryOut(ConsensusOutput &Output, ControlContext &Context) {
+    if (Output.m_HardState || Output.m_InstalledSnapshot ||
+        !Output.m_Entries.empty())
+      Context.m_Actions.push_back(PersistLog{Output.m_HardState,
+                                             Output.m_InstalledSnapshot,
+                                             std::move(Output.m_Entries)});
+    m_Board.m_Membership = m_Log->membership();
+    for (ConsensusMessage &Message : Output.m_Messages)
+      sendToMember(std::move(Message), Context);
+    if (Output.m_InstalledSnapshot)
+      install(*Output.m_InstalledSnapshot, Context);
+    for (const LogEntry &Entry : Output.m_Committed)
+      apply(Entry, Context);
+    compactIfDue(Context);
+    for (uint64_t Read : Output.m_FailedReads)
+      m_Feed.onFailedRead(Read);
+    for (const ConsensusOutput::ConfirmedRead &Read : Output.m_ConfirmedReads)
+      m_Feed.onConfirmed(Read, Context);
+  }
+
+  void sendToMember(ConsensusMessage Message, ControlContext &Context) {
+    const ControlMember *Member = m_Board.findMember(Message.m_To);
+    if (Member != nullptr)
+      m_Links.send(Member->m_Peer, std::move(Message), Context.m_Actions);
+  }
+
+  void install(const Snapshot &Snapshot, ControlContext &Context) {
+    m_Board.m_State = ControlState::decoded(Snapshot.m_Data);
+    m_Feed.onSnapshotInstalled();
+    Context.reportStateChange("installed a snapshot up to index " +
+                              std::to_string(Snapshot.m_Index));
+  }
+
+  void apply(const LogEntry &Entry, ControlContext &Context) {
+    std::optional<ControlState::Applied> Applied = m_Board.m_State.apply(Entry);
+    ++m_AppliedSinceStart;
+    if (!Applied)
+      return;
+    if (Applied->m_Accepted)
+      m_Feed.onAccepted(Entry.m_Index, *Applied->m_Accepted);
+    m_Changes.onApplied(Entry, Applied->m_Outcome, Context);
+  }
+
+  void compactIfDue(ControlContext &Context) {
+    uint64_t Index = m_Board.m_State.appliedIndex();
+    if (Index < m_Log->snapshotIndex() + kCompactionInterval)
+      return;
+    std::string Data = m_Board.m_State.encoded();
+    PersistSnapshot Action;
+    Action.m_Snapshot =
+        Snapshot{m_Board.m_State.appliedTerm(), Index, m_Log->membership(), Data};
+    Context.m_Actions.push_back(std::move(Action));
+    m_Log->compact(Index, std::move(Data));
+    ++m_Snapshots;
+  }
+
+  void updateLeadership(ControlContext &Context) {
+    bool WasLeader = m_Board.m_IsLeader;
+    uint64_t OldTerm = m_Board.m_Term;
+    m_Board.m_Term = m_Log->term();
+    m_Board.m_Leader = m_Log->leader();
+    m_Board.m_Membership = m_Log->membership();
+    m_Board.m_IsLeader = m_Log->isLeader() &&
+                         m_Board.m_State.appliedTerm() == m_Board.m_Term;
+    bool IsNewTerm = OldTerm != m_Board.m_Term;
+    if (WasLeader && (!m_Board.m_IsLeader || IsNewTerm)) {
+      Context.reportStateChange("leads no longer");
+      m_Changes.onLeadershipLost(Context);
+    }
+    if (m_Board.m_IsLeader && (!WasLeader || IsNewTerm)) {
+      m_Board.m_LeaderSince = Context.m_Now;
+      Context.reportStateChange("leads in term " +
+                                std::to_string(m_Board.m_Term));
+    }
+  }
+};
+
+ControlCore::ControlCore(const ControlOptions &Options, Time Now)
+    : m_State(std::make_unique<State>(Options, Now)) {}
+
+ControlCore::~ControlCore() = default;
+
+void ControlCore::handle(const ControlEvent &Event, Time Now,
+                         ControlActions &Actions) {
+  m_State->handle(Event, Now, Actions);
+}
+
+const ControlBlackboard &ControlCore::blackboard() const {
+  return m_State->m_Board;
+}
+
+bool ControlCore::isReady() const {
+  const ControlBlackboard &Board = m_State->m_Board;
+  return !Board.m_IsShuttingDown && !m_State->isJoining() &&
+         (Board.m_IsLeader || (Board.findMember(Board.m_Leader) != nullptr &&
+                               Board.m_Leader != Board.m_Self.m_Id));
+}
+
+uint64_t ControlCore::appliedIndex() const {
+  return m_State->m_Board.m_State.appliedIndex();
+}
+
+CounterList ControlCore::counters() const {
+  const ControlBlackboard &Board = m_State->m_Board;
+  CounterList List{
+      {"almondpier_control_leader", "1 while this host leads.",
+       Board.m_IsLeader ? 1.0 : 0.0},
+      {"almondpier_control_term", "Term of the replicated log.",
+       static_cast<double>(Board.m_Term)},
+      {"almondpier_control_applied_index", "Last log entry applied.",
+       static_cast<double>(Board.m_State.appliedIndex())},
+      {"almondpier_control_entries_applied_total",
+       "Log entries applied since the start.",
+       static_cast<double>(m_State->m_AppliedSinceStart)},
+      {"almondpier_control_snapshots_total", "Snapshots taken.",
+       static_cast<double>(m_State->m_Snapshots)},
+      {"almondpier_control_live_hosts", "Proxies in the published list.",
+       static_cast<double>(Board.m_LiveHosts.m_Hosts.size())},
+      {"almondpier_control_polls_answered_total", "Polls answered.",
+       static_cast<double>(m_State->m_Feed.answeredPolls())},
+      {"almondpier_control_polls_dropped_total",
+       "Polls that no round of consensus confirmed in time.",
+       static_cast<double>(m_State->m_Feed.droppedPolls())},
+      {"almondpier_tokens_lent_total", "Tokens lent to proxies.",
+       static_cast<double>(m_State->m_Allocator.lentTokens())},
+      {"almondpier_token_loans_short_total",
+       "Loans smaller than the number of waiting requests.",
+       static_cast<double>(m_State->m_Allocator.shortLoans())}};
+  for (Counter &Counter : m_State->m_Failover.counters())
+    List.push_back(std::move(Counter));
+  return List;
+}
+
+} // namespace almondpier
--- a/src/decision/control/ControlCore.h
+++ b/src/decision/control/ControlCore.h
@@ -3,7 +3,48 @@
 /// liveness and rate limits.
 #pragma once
 
-#include "decision/Counter.h"
-#include "decision/consensus/Consensus.h"
+#include "decision/control/ControlBlackboard.h"
 
-namespace almondpier {} // namespace almondpier
+#include <memory>
+
+namespace almondpier {
+
+struct ControlOptions {
+  ControlMember m_Self;
+  /// 0 for a host that has not joined a cluster.
+  uint64_t m_ClusterId = 0;
+  /// What the data folder holds; empty for a host that joins.
+  PersistedLog m_Log;
+  /// TCP endpoints of control hosts to ask for membership while the log holds
+  /// none.
+  std::vector<Endpoint> m_JoinPeers;
+  uint64_t m_Seed = 0;
+};
+
+/// The log of a new cluster with one member, to be persisted before the first
+/// start.
+PersistedLog bootstrapLog(const ControlMember &Self);
+
+class ControlCore {
+public:
+  ControlCore(const ControlOptions &Options, Time Now);
+  ~ControlCore();
+  ControlCore(const ControlCore &) = delete;
+  ControlCore &operator=(const ControlCore &) = delete;
+
+  /// Handles an event and appends the actions it causes, to be carried out in
+  /// order.
+  void handle(const ControlEvent &Event, Time Now, ControlActions &Actions);
+  const ControlBlackboard &blackboard() const;
+  /// Whether this host holds a current log and knows the leader.
+  bool isReady() const;
+  /// Index of the log up to which this host has applied.
+  uint64_t appliedIndex() const;
+  CounterList counters() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> m_State;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/ControlState.cpp
@@ -0,0 +1,47 @@
+#include "decision/control/ControlState.h"
+
+#include "decision/Invariant.h"
+#include "messages/Codec.h"
+
+#include <cereal/types/deque.hpp>
+#include <cereal/types/unordered_map.hpp>
+
+namespace almondpier {
+
+std::optional<ControlState::Applied>
+ControlState::apply(const LogEntry &Entry) {
+  requireInvariant(Entry.m_Index == m_AppliedIndex + 1, "R13",
+                   "entries of the log are applied in order, each once");
+  m_AppliedIndex = Entry.m_Index;
+  m_AppliedTerm = Entry.m_Term;
+  if (Entry.m_Data.empty())
+    return std::nullopt;
+  Change Received = decodeChange(Entry.m_Data);
+  // Changes by the system bear no identifier; they are idempotent themselves.
+  bool IsIdentified = !Received.m_ChangeId.empty();
+  if (IsIdentified)
+    if (std::optional<ChangeOutcome> First = m_Outcomes.find(Received))
+      return Applied{*First, std::nullopt};
+  ChangeOutcome Outcome = m_Configuration.apply(Received);
+  if (IsIdentified)
+    m_Outcomes.add(Received, Outcome);
+  m_Audit.add(Received, Entry.m_Index, Outcome);
+  if (!Outcome.m_Accepted)
+    return Applied{Outcome, std::nullopt};
+  return Applied{Outcome, std::move(Received)};
+}
+
+ControlState ControlState::initial(uint64_t Term, uint64_t Index) {
+  ControlState State;
+  State.m_AppliedTerm = Term;
+  State.m_AppliedIndex = Index;
+  return State;
+}
+
+std::string ControlState::encoded() const { return encodeValue(*this); }
+
+ControlState ControlState::decoded(std::string_view Bytes) {
+  return decodeValue<ControlState>(Bytes);
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/ControlState.h
@@ -0,0 +1,50 @@
+/// \file
+/// The state machine that the control hosts replicate.
+#pragma once
+
+#include "almondpier/Messages.h"
+#include "decision/control/AuditTrail.h"
+
+namespace almondpier {
+
+/// Configuration, outcomes by change identifier and audit trail. Applying the
+/// same entries gives the same state on every host.
+class ControlState {
+public:
+  struct Applied {
+    ChangeOutcome m_Outcome;
+    /// Set when the change was accepted now, not before.
+    std::optional<Change> m_Accepted;
+  };
+
+  /// Applies a committed entry; the answer is empty for an entry without a
+  /// change. Entries up to appliedIndex() must not come again.
+  std::optional<Applied> apply(const LogEntry &Entry);
+
+  uint64_t appliedIndex() const { return m_AppliedIndex; }
+  /// Term of the last entry applied.
+  uint64_t appliedTerm() const { return m_AppliedTerm; }
+  const Configuration &configuration() const { return m_Configuration; }
+  const OutcomeTable &outcomes() const { return m_Outcomes; }
+  const AuditTrail &audit() const { return m_Audit; }
+
+  /// The state of a new cluster, whose log begins after Index.
+  static ControlState initial(uint64_t Term, uint64_t Index);
+  std::string encoded() const;
+  /// Throws DecodeError.
+  static ControlState decoded(std::string_view Bytes);
+
+  friend bool operator==(const ControlState &, const ControlState &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_AppliedIndex, m_AppliedTerm, m_Configuration, m_Outcomes, m_Audit);
+  }
+
+private:
+  uint64_t m_AppliedIndex = 0;
+  uint64_t m_AppliedTerm = 0;
+  Configuration m_Configuration;
+  OutcomeTable m_Outcomes;
+  AuditTrail m_Audit;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/FailoverController.cpp
@@ -0,0 +1,224 @@
+#include "decision/control/FailoverController.h"
+
+#include "decision/HostRanking.h"
+#include "decision/control/LivenessController.h"
+
+#include <algorithm>
+
+namespace almondpier {
+
+namespace {
+
+/// Observers report an instance as unreachable after this time.
+constexpr uint32_t kUnreachableMs = 400;
+/// Owners hold new writes for this time before a planned move.
+constexpr Duration kDrainHold = std::chrono::milliseconds(300);
+/// A planned move that did not lead away from the draining instance is tried
+/// again after this time.
+constexpr Duration kMoveRetry = std::chrono::seconds(5);
+/// Longer than two intervals of heartbeats.
+constexpr Duration kRoleLostLimit = std::chrono::milliseconds(600);
+constexpr size_t kMaxRecords = 200;
+constexpr double kMicrosPerSecond = 1e6;
+
+} // namespace
+
+void FailoverController::dropAll() {
+  m_Calls.clear();
+  m_Groups.clear();
+  m_Followers.clear();
+  m_DrainSince.clear();
+  m_MovedAt.clear();
+  m_RoleLostSince.clear();
+  m_Board.m_FailoverSteps.clear();
+}
+
+void FailoverController::onAnswered(const InstanceCallAnswered &Event,
+                                    ControlContext &Context) {
+  std::optional<InstanceCalls::Call> Call = m_Calls.take(Event.m_Call);
+  if (!Call)
+    return;
+  if (Call->m_Kind == InstanceCallKind::Follow) {
+    m_Followers[Call->m_Database].onAnswered(*Call, Event);
+    return;
+  }
+  auto Group = m_Groups.find(Call->m_Database);
+  const DatabaseRecord *Record =
+      m_Board.configuration().findDatabase(Call->m_Database);
+  if (Group == m_Groups.end() || Record == nullptr)
+    return;
+  Group->second->onAnswered(*Call, Event, Context);
+  // The next step starts without waiting for the clock.
+  Group->second->tick(*Record, m_Calls, Context);
+}
+
+void FailoverController::tick(ControlContext &Context) {
+  if (!m_Board.m_IsLeader || m_Term != m_Board.m_Term) {
+    dropAll();
+    m_Term = m_Board.m_Term;
+  }
+  if (!m_Board.m_IsLeader || m_Board.m_IsShuttingDown)
+    return;
+  collectReports(Context.m_Now);
+  for (const std::pair<const DatabaseName, DatabaseRecord> &Entry :
+       m_Board.configuration().databases())
+    superviseDatabase(Entry.first, Entry.second, Context);
+}
+
+void FailoverController::collectReports(Time Now) {
+  m_Reports.clear();
+  for (const std::pair<const HostName, HostHealth> &Entry : m_Board.m_Health) {
+    if (Now - Entry.second.m_HeardAt >= LivenessController::kLiveLimit)
+      continue;
+    for (const InstanceReport &Report : Entry.second.m_Reports)
+      m_Reports[Report.m_Database].push_back(
+          HostReport{Entry.first, Entry.second.m_AppliedIndex, &Report});
+  }
+}
+
+void FailoverController::superviseDatabase(const DatabaseName &Name,
+                                           const DatabaseRecord &Record,
+                                           ControlContext &Context) {
+  auto Group = m_Groups.find(Name);
+  if (Group != m_Groups.end()) {
+    Group->second->tick(Record, m_Calls, Context);
+    m_Board.m_FailoverSteps[Name] = nameOf(Group->second->step());
+    if (Group->second->step() != GroupFailover::Step::Done)
+      return;
+    finish(*Group->second, Context);
+    m_Groups.erase(Group);
+  }
+  if (std::optional<std::string> Reason = reasonToFailOver(Name, Record, Context.m_Now))
+    return start(Name, *Reason, Context);
+  FollowSupervisor &Followers = m_Followers[Name];
+  auto Reports = m_Reports.find(Name);
+  if (Reports != m_Reports.end())
+    for (const HostReport &Report : Reports->second)
+      Followers.onDisagreement(Report.m_Report->m_Instance);
+  Followers.tick(Name, Record, m_Calls, Context);
+}
+
+std::optional<std::string>
+FailoverController::reasonToFailOver(const DatabaseName &Name,
+                                     const DatabaseRecord &Record, Time Now) {
+  // Later announcements become spares once a term has begun, so the first
+  // election waits for the whole group.
+  if (Record.m_BegunTerm == 0) {
+    if (Record.m_Instances.size() < Record.m_GroupSize)
+      return std::nullopt;
+    return "first election";
+  }
+  if (Record.m_BegunTerm > Record.m_PrimaryTerm || !Record.m_Primary)
+    return "unfinished term";
+  if (isPrimaryLost(Name, Record, Now))
+    return "primary lost";
+  return reasonToDrain(Name, Record, Now);
+}
+
+std::optional<std::string>
+FailoverController::reasonToDrain(const DatabaseName &Name,
+                                  const DatabaseRecord &Record, Time Now) {
+  if (!Record.m_Draining.contains(*Record.m_Primary)) {
+    m_DrainSince.erase(Name);
+    return std::nullopt;
+  }
+  Time Since = m_DrainSince.emplace(Name, Now).first->second;
+  auto Moved = m_MovedAt.find(Name);
+  if (Now - Since < kDrainHold ||
+      (Moved != m_MovedAt.end() && Now - Moved->second < kMoveRetry))
+    return std::nullopt;
+  size_t Staying = 0;
+  for (const std::pair<const InstanceName, InstanceRecord> &Entry :
+       Record.m_Instances)
+    Staying += Record.m_Draining.contains(Entry.first) ? 0 : 1;
+  if (Staying < Record.majority())
+    return std::nullopt;
+  m_MovedAt[Name] = Now;
+  return "primary departs";
+}
+
+bool FailoverController::isPrimaryLost(const DatabaseName &Name,
+                                       const DatabaseRecord &Record, Time Now) {
+  auto Reports = m_Reports.find(Name);
+  if (Reports == m_Reports.end() || m_Board.m_LiveHosts.m_Version == 0) {
+    m_RoleLostSince.erase(Name);
+    return false;
+  }
+  std::vector<HostName> Observers = rankHosts(
+      Name, candidateHosts(m_Board.configuration(), m_Board.m_LiveHosts),
+      kObserverCount);
+  size_t Unreachable = 0;
+  size_t RoleLost = 0;
+  for (const HostReport &Report : Reports->second) {
+    if (Report.m_Report->m_Instance != *Record.m_Primary ||
+        std::find(Observers.begin(), Observers.end(), Report.m_Host) ==
+            Observers.end())
+      continue;
+    if (Report.m_Report->m_UnreachableMs >= kUnreachableMs)
+      ++Unreachable;
+    else if (Report.m_Report->m_UnreachableMs == 0 &&
+             !Report.m_Report->m_IsPrimary &&
+             Report.m_Report->m_SealedTerm >= Record.m_PrimaryTerm)
+      ++RoleLost;
+  }
+  size_t Needed = std::min(std::max<size_t>(Observers.size() / 2 + 1, 2),
+                           std::max<size_t>(Observers.size(), 1));
+  if (Unreachable >= Needed)
+    return true;
+  // A primary that restarted answers but no longer acts as one. Reports may
+  // show the moment before the promotion, so the state has to last.
+  if (Unreachable + RoleLost < Needed) {
+    m_RoleLostSince.erase(Name);
+    return false;
+  }
+  Time Since = m_RoleLostSince.emplace(Name, Now).first->second;
+  return Now - Since >= kRoleLostLimit;
+}
+
+void FailoverController::start(const DatabaseName &Name,
+                               const std::string &Reason,
+                               ControlContext &Context) {
+  Context.reportStateChange("database " + Name.m_Value +
+                            ": change of primary begins: " + Reason);
+  ++m_Started;
+  m_RoleLostSince.erase(Name);
+  m_Groups[Name] = std::make_unique<GroupFailover>(Name, Reason, Context.m_Now);
+  m_Groups[Name]->tick(*m_Board.configuration().findDatabase(Name), m_Calls,
+                       Context);
+}
+
+void FailoverController::finish(const GroupFailover &Group,
+                                ControlContext &Context) {
+  FailoverRecord Record = Group.record(Context.m_Now);
+  Record.m_WallTimeMs = m_Board.m_WallTimeMs;
+  Context.reportStateChange(
+      "database " + Record.m_Database.m_Value + ": instance " +
+      Record.m_Primary.m_Value + " is primary in term " +
+      std::to_string(Record.m_Term) + " after " +
+      std::to_string(Record.m_Total.count() / 1'000) + " ms");
+  ++m_Finished;
+  m_Restarted += Group.restarts();
+  m_TotalTime += Record.m_Total;
+  m_Board.m_FailoverSteps.erase(Record.m_Database);
+  m_DrainSince.erase(Record.m_Database);
+  m_Board.m_Failovers.push_back(std::move(Record));
+  if (m_Board.m_Failovers.size() > kMaxRecords)
+    m_Board.m_Failovers.erase(m_Board.m_Failovers.begin());
+}
+
+CounterList FailoverController::counters() const {
+  return {{"almondpier_failovers_started_total",
+           "Changes of primary that this leader began.",
+           static_cast<double>(m_Started)},
+          {"almondpier_failovers_finished_total",
+           "Changes of primary that this leader finished.",
+           static_cast<double>(m_Finished)},
+          {"almondpier_failover_restarts_total",
+           "Terms given up during changes of primary.",
+           static_cast<double>(m_Restarted)},
+          {"almondpier_failover_seconds_total",
+           "Time that finished changes of primary took.",
+           static_cast<double>(m_TotalTime.count()) / kMicrosPerSecond}};
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/FailoverController.h
@@ -0,0 +1,63 @@
+/// \file
+/// Changes of primary, one state machine per database.
+#pragma once
+
+#include "decision/control/GroupFailover.h"
+
+#include <memory>
+
+namespace almondpier {
+
+/// Detects lost and draining primaries at the leader and drives a GroupFailover
+/// for each. A host that no longer leads drops them; its successor begins new
+/// terms.
+class FailoverController {
+public:
+  explicit FailoverController(ControlBlackboard &Board) : m_Board(Board) {}
+
+  void onAnswered(const InstanceCallAnswered &Event, ControlContext &Context);
+  void tick(ControlContext &Context);
+  CounterList counters() const;
+
+private:
+  struct HostReport {
+    HostName m_Host;
+    uint64_t m_AppliedIndex = 0;
+    const InstanceReport *m_Report = nullptr;
+  };
+
+  void dropAll();
+  void collectReports(Time Now);
+  void superviseDatabase(const DatabaseName &Name, const DatabaseRecord &Record,
+                         ControlContext &Context);
+  std::optional<std::string> reasonToFailOver(const DatabaseName &Name,
+                                              const DatabaseRecord &Record,
+                                              Time Now);
+  std::optional<std::string> reasonToDrain(const DatabaseName &Name,
+                                           const DatabaseRecord &Record,
+                                           Time Now);
+  bool isPrimaryLost(const DatabaseName &Name, const DatabaseRecord &Record,
+                     Time Now);
+  void start(const DatabaseName &Name, const std::string &Reason,
+             ControlContext &Context);
+  void finish(const GroupFailover &Group, ControlContext &Context);
+
+  ControlBlackboard &m_Board;
+  uint64_t m_Term = 0;
+  InstanceCalls m_Calls;
+  std::map<DatabaseName, std::unique_ptr<GroupFailover>> m_Groups;
+  std::map<DatabaseName, FollowSupervisor> m_Followers;
+  /// When the drain of a primary was first seen, and when a move was last
+  /// tried.
+  std::map<DatabaseName, Time> m_DrainSince;
+  std::map<DatabaseName, Time> m_MovedAt;
+  std::map<DatabaseName, Time> m_RoleLostSince;
+  /// Reports of live hosts, collected at each tick.
+  std::map<DatabaseName, std::vector<HostReport>> m_Reports;
+  uint64_t m_Started = 0;
+  uint64_t m_Finished = 0;
+  uint64_t m_Restarted = 0;
+  Duration m_TotalTime{};
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/FeedController.cpp
@@ -0,0 +1,237 @@
+#include "decision/control/FeedController.h"
+
+namespace almondpier {
+
+namespace {
+
+/// One round serves all polls that arrived since the last one began.
+constexpr Duration kLeaderRoundInterval = std::chrono::milliseconds(20);
+constexpr Duration kFollowerRoundInterval = std::chrono::milliseconds(50);
+/// A proxy asks another control host after 500 ms without an answer.
+constexpr Duration kWaitLimit = std::chrono::milliseconds(1'000);
+constexpr uint64_t kKeptEntries = 2'000;
+/// Larger differences are sent as a snapshot in chunks.
+constexpr size_t kMaxChangesBytes = kMaxSnapshotChunkBytes;
+
+} // namespace
+
+void FeedController::onPoll(LinkId Link, const PollRequest &Poll, Time Now) {
+  m_Waiting.push_back(Waiter{Now, PollWaiter{Link, Poll}});
+}
+
+void FeedController::onRead(OperationId Id, Time Now) {
+  m_Waiting.push_back(Waiter{Now, ReadWaiter{Id}});
+}
+
+void FeedController::onReadIndexRequest(LinkId Link,
+                                        const ReadIndexRequest &Request,
+                                        Time Now) {
+  m_Waiting.push_back(Waiter{Now, FollowerWaiter{Link, Request.m_Sequence}});
+}
+
+void FeedController::tick(ControlContext &Context) {
+  if (m_WasLeader != m_Board.m_IsLeader) {
+    // Numbers of reads at the leader and of requests at a follower differ.
+    m_WasLeader = m_Board.m_IsLeader;
+    for (std::pair<const uint64_t, Batch> &Entry : m_Batches)
+      if (!Entry.second.m_Index)
+        for (Waiter &Waiter : Entry.second.m_Waiters)
+          m_Waiting.push_back(std::move(Waiter));
+    std::erase_if(m_Batches,
+                  [](const auto &Entry) { return !Entry.second.m_Index; });
+  }
+  dropLate(Context);
+  answerReady(Context);
+  Duration Interval =
+      m_Board.m_IsLeader ? kLeaderRoundInterval : kFollowerRoundInterval;
+  if (m_Waiting.empty() ||
+      (m_LastRound && Context.m_Now - *m_LastRound < Interval))
+    return;
+  startRound(Context);
+}
+
+void FeedController::startRound(ControlContext &Context) {
+  uint64_t Number = 0;
+  if (m_Board.m_IsLeader) {
+    std::optional<uint64_t> Read = Context.m_Log.requestReadIndex(Context.m_Now);
+    if (!Read)
+      return;
+    Number = *Read;
+  } else {
+    if (m_Board.findMember(m_Board.m_Leader) == nullptr)
+      return;
+    Number = ++m_LastSequence;
+    m_LeaderRequest = ReadIndexRequest{m_Board.m_Self.m_Id, Number};
+  }
+  m_LastRound = Context.m_Now;
+  m_Batches[Number].m_Waiters = std::move(m_Waiting);
+  m_Waiting.clear();
+}
+
+std::optional<ReadIndexRequest> FeedController::takeLeaderRequest() {
+  std::optional<ReadIndexRequest> Request = m_LeaderRequest;
+  m_LeaderRequest.reset();
+  return Request;
+}
+
+void FeedController::onConfirmed(const ConsensusOutput::ConfirmedRead &Read,
+                                 ControlContext &Context) {
+  auto Found = m_Batches.find(Read.m_Read);
+  if (Found == m_Batches.end() || !m_WasLeader)
+    return;
+  Found->second.m_Index = Read.m_Index;
+  answerReady(Context);
+}
+
+void FeedController::onFailedRead(uint64_t Read) {
+  auto Found = m_Batches.find(Read);
+  if (Found == m_Batches.end() || !m_WasLeader)
+    return;
+  for (Waiter &Waiter : Found->second.m_Waiters)
+    m_Waiting.push_back(std::move(Waiter));
+  m_Batches.erase(Found);
+}
+
+void FeedController::onReadIndexReply(const ReadIndexReply &Reply,
+                                      ControlContext &Context) {
+  auto Found = m_Batches.find(Reply.m_Sequence);
+  if (Found == m_Batches.end() || m_WasLeader)
+    return;
+  Found->second.m_Index = Reply.m_Index;
+  answerReady(Context);
+}
+
+void FeedController::answerReady(ControlContext &Context) {
+  for (auto It = m_Batches.begin(); It != m_Batches.end();) {
+    const std::optional<uint64_t> &Index = It->second.m_Index;
+    if (!Index || *Index > m_Board.m_State.appliedIndex()) {
+      ++It;
+      continue;
+    }
+    Batch Ready = std::move(It->second);
+    It = m_Batches.erase(It);
+    for (const Waiter &Waiter : Ready.m_Waiters)
+      answer(Waiter, *Ready.m_Index, Context);
+  }
+}
+
+void FeedController::dropLate(ControlContext &Context) {
+  auto IsLate = [&](const Waiter &Waiter) {
+    if (Context.m_Now - Waiter.m_Since < kWaitLimit)
+      return false;
+    if (const ReadWaiter *Read = std::get_if<ReadWaiter>(&Waiter.m_What))
+      Context.refuseAsFollower(Read->m_Id);
+    if (std::holds_alternative<PollWaiter>(Waiter.m_What))
+      ++m_DroppedPolls;
+    return true;
+  };
+  std::erase_if(m_Waiting, IsLate);
+  for (std::pair<const uint64_t, Batch> &Entry : m_Batches)
+    std::erase_if(Entry.second.m_Waiters, IsLate);
+  std::erase_if(m_Batches, [](const auto &Entry) {
+    return Entry.second.m_Waiters.empty();
+  });
+}
+
+void FeedController::answer(const Waiter &Waiter, uint64_t Index,
+                            ControlContext &Context) {
+  if (const PollWaiter *Poll = std::get_if<PollWaiter>(&Waiter.m_What))
+    return answerPoll(*Poll, Context);
+  if (const FollowerWaiter *Follower =
+          std::get_if<FollowerWaiter>(&Waiter.m_What))
+    return answerFollower(*Follower, Index, Context);
+  ReplyToOperation Reply;
+  Reply.m_Id = std::get<ReadWaiter>(Waiter.m_What).m_Id;
+  Context.m_Actions.push_back(std::move(Reply));
+}
+
+void FeedController::answerFollower(const FollowerWaiter &Waiter,
+                                    uint64_t Index, ControlContext &Context) {
+  ReadIndexReply Reply;
+  Reply.m_Sequence = Waiter.m_Sequence;
+  Reply.m_Index = Index;
+  // Messages on a link arrive in order, so an unchanged list need not be sent
+  // again; term and version 0 stand for it.
+  std::pair<uint64_t, uint64_t> Current{m_Board.m_LiveHosts.m_Term,
+                                        m_Board.m_LiveHosts.m_Version};
+  auto [Sent, IsFirst] = m_SentLists.emplace(Waiter.m_Link, Current);
+  if (IsFirst || Sent->second != Current)
+    Reply.m_LiveHosts = m_Board.m_LiveHosts;
+  Sent->second = Current;
+  Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
+}
+
+void FeedController::answerPoll(const PollWaiter &Waiter,
+                                ControlContext &Context) {
+  const PollRequest &Poll = Waiter.m_Poll;
+  ++m_AnsweredPolls;
+  PollReply Reply;
+  Reply.m_Sequence = Poll.m_Sequence;
+  Reply.m_AppliedIndex = m_Board.m_State.appliedIndex();
+  const LiveHosts &Live = m_Board.m_LiveHosts;
+  if (Live.m_Version > 0 && (Live.m_Term != Poll.m_LiveHostsTerm ||
+                             Live.m_Version != Poll.m_LiveHostsVersion))
+    Reply.m_LiveHosts = Live;
+  if (const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader))
+    Reply.m_Leader = Leader->m_Host;
+  Reply.m_ControlMembers = m_Board.m_Membership.m_Voters;
+  if (addChanges(Poll.m_AppliedIndex, Reply))
+    Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
+  else
+    sendSnapshot(Waiter.m_Link, std::move(Reply), Context);
+}
+
+bool FeedController::addChanges(uint64_t Since, PollReply &Reply) const {
+  // An index above the own one comes from another cluster or a lost log.
+  if (Since == 0 || Since < m_ChangesAfter ||
+      Since > m_Board.m_State.appliedIndex())
+    return false;
+  size_t Bytes = 0;
+  auto First = m_Changes.end();
+  while (First != m_Changes.begin() && std::prev(First)->m_Index > Since) {
+    --First;
+    Bytes += First->m_Bytes;
+    if (Bytes > kMaxChangesBytes)
+      return false;
+  }
+  for (; First != m_Changes.end(); ++First)
+    Reply.m_Changes.push_back(First->m_Change);
+  return true;
+}
+
+void FeedController::sendSnapshot(LinkId Link, PollReply Reply,
+                                  ControlContext &Context) {
+  if (m_Snapshot.empty() || m_SnapshotIndex != Reply.m_AppliedIndex) {
+    m_Snapshot = encode(m_Board.configuration());
+    m_SnapshotIndex = Reply.m_AppliedIndex;
+  }
+  Reply.m_SnapshotBytes = m_Snapshot.size();
+  for (size_t Offset = 0; Offset < m_Snapshot.size();
+       Offset += kMaxSnapshotChunkBytes) {
+    Reply.m_SnapshotOffset = Offset;
+    Reply.m_Snapshot = m_Snapshot.substr(Offset, kMaxSnapshotChunkBytes);
+    Context.m_Actions.push_back(SendMessage{Link, Reply});
+    Reply.m_LiveHosts.reset();
+  }
+}
+
+void FeedController::onAccepted(uint64_t Index, const Change &Change) {
+  AcceptedChange Accepted{Index, Change, 0};
+  // Proxies do not need who asked for a change.
+  Accepted.m_Change.m_ChangeId.clear();
+  Accepted.m_Change.m_Actor.clear();
+  Accepted.m_Bytes = encode(Accepted.m_Change).size();
+  m_Changes.push_back(std::move(Accepted));
+  while (!m_Changes.empty() && m_Changes.front().m_Index + kKeptEntries < Index) {
+    m_ChangesAfter = m_Changes.front().m_Index;
+    m_Changes.pop_front();
+  }
+}
+
+void FeedController::onSnapshotInstalled() {
+  m_Changes.clear();
+  m_ChangesAfter = m_Board.m_State.appliedIndex();
+  m_Snapshot.clear();
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/GroupFailover.h
@@ -0,0 +1,112 @@
+/// \file
+/// One change of primary of one database, and the instances that follow.
+#pragma once
+
+#include "decision/control/ControlBlackboard.h"
+
+namespace almondpier {
+
+/// Requests to instances whose answer is awaited.
+class InstanceCalls {
+public:
+  struct Call {
+    DatabaseName m_Database;
+    InstanceName m_Instance;
+    InstanceCallKind m_Kind = InstanceCallKind::Status;
+    uint64_t m_Term = 0;
+  };
+
+  void send(const Call &Call, const InstanceRecord &Instance,
+            const InstanceRecord *Primary, ControlContext &Context);
+  /// Returns and forgets the call that an answer belongs to; nothing when it is
+  /// of an earlier leadership.
+  std::optional<Call> take(InstanceCallId Id);
+  void clear() { m_Calls.clear(); }
+
+private:
+  uint64_t m_LastId = 0;
+  std::map<InstanceCallId, Call> m_Calls;
+};
+
+/// Fixes a term, seals a majority, promotes the most advanced instance and
+/// publishes it. Within one term at most one instance is ever told to promote;
+/// whenever the result of a promotion is unknown, a new term begins.
+class GroupFailover {
+public:
+  enum class Step : uint8_t { Begin, Seal, Promote, Publish, Done };
+
+  GroupFailover(DatabaseName Database, std::string Reason, Time Now)
+      : m_Database(std::move(Database)), m_Reason(std::move(Reason)),
+        m_StartedAt(Now), m_StepStartedAt(Now) {}
+
+  void tick(const DatabaseRecord &Record, InstanceCalls &Calls,
+            ControlContext &Context);
+  void onAnswered(const InstanceCalls::Call &Call,
+                  const InstanceCallAnswered &Answer, ControlContext &Context);
+  Step step() const { return m_Step; }
+  uint64_t restarts() const { return m_Restarts; }
+  /// The durations of the steps done so far.
+  FailoverRecord record(Time Now) const;
+
+private:
+  struct Target {
+    std::optional<Time> m_AskedAt;
+    bool m_IsAwaited = false;
+  };
+
+  void beginTerm(const DatabaseRecord &Record, ControlContext &Context);
+  void seal(const DatabaseRecord &Record, InstanceCalls &Calls,
+            ControlContext &Context);
+  std::optional<InstanceName> chooseSealed(const DatabaseRecord &Record,
+                                           Time Now);
+  void promote(const DatabaseRecord &Record, InstanceCalls &Calls,
+               ControlContext &Context);
+  void publish(const DatabaseRecord &Record, ControlContext &Context);
+  void enter(Step Step, Time Now);
+  /// Begins a new term, because this one cannot be completed.
+  void restart(const std::string &Why, ControlContext &Context);
+  Duration &durationOf(Step Step);
+
+  DatabaseName m_Database;
+  std::string m_Reason;
+  Step m_Step = Step::Begin;
+  /// The term of this attempt; 0 until it is fixed.
+  uint64_t m_Term = 0;
+  Time m_StartedAt;
+  Time m_StepStartedAt;
+  std::optional<Time> m_ProposedAt;
+  std::optional<Time> m_NotBefore;
+  std::map<InstanceName, Target> m_Targets;
+  std::map<InstanceName, Position> m_Sealed;
+  std::optional<Time> m_MajorityAt;
+  InstanceName m_Promoted;
+  uint32_t m_PromoteTries = 0;
+  uint64_t m_StartIndex = 0;
+  uint64_t m_Restarts = 0;
+  FailoverRecord m_Record;
+};
+
+std::string_view nameOf(GroupFailover::Step Step);
+
+/// Tells the other instances of a group to follow its primary, and repeats it
+/// until they agree.
+class FollowSupervisor {
+public:
+  void tick(const DatabaseName &Name, const DatabaseRecord &Record,
+            InstanceCalls &Calls, ControlContext &Context);
+  void onAnswered(const InstanceCalls::Call &Call,
+                  const InstanceCallAnswered &Answer);
+  /// An observer saw the instance in another state than wanted.
+  void onDisagreement(const InstanceName &Instance);
+
+private:
+  struct Target {
+    std::optional<Time> m_AskedAt;
+    bool m_IsSettled = false;
+  };
+
+  uint64_t m_Term = 0;
+  std::map<InstanceName, Target> m_Targets;
+};
+
+} // namespace almondpier
