--- a/src/decision/control/AllocatorController.cpp
+++ b/src/decision/control/AllocatorController.cpp
@@ -58,8 +58,7 @@
     return 0;
   m_Tokens -= Lent;
   m_Lent += Lent;
-  m_Loans.push_back(
-      Loan{Now + m_Terms.m_Validity, static_cast<double>(Lent)});
+  m_Loans.push_back(Loan{Now + m_Terms.m_Validity, static_cast<double>(Lent)});
   return Lent;
 }
 
@@ -93,8 +92,8 @@
   m_Pending.clear();
 }
 
-TokenBucket &
-AllocatorController::bucketOf(const OrganisationName &Organisation, Time Now) {
+TokenBucket &AllocatorController::bucketOf(const OrganisationName &Organisation,
+                                           Time Now) {
   TokenBucket &Bucket =
       m_Buckets.try_emplace(Organisation, m_Board.m_LeaderSince).first->second;
   Bucket.refill(m_Board.configuration().currentPreset().limitOf(Organisation),
@@ -200,9 +199,8 @@
   std::vector<uint32_t> Advance =
       Missing > 0 ? std::vector<uint32_t>(Claims.size(), 0)
                   : divide(Ahead, static_cast<uint32_t>(Bucket.tokens() / 2));
-  double RetryAfterMs =
-      std::ceil((Missing + 1 - Bucket.tokens()) / Limit.m_RatePerSecond *
-                kMsPerSecond);
+  double RetryAfterMs = std::ceil((Missing + 1 - Bucket.tokens()) /
+                                  Limit.m_RatePerSecond * kMsPerSecond);
   for (size_t Index = 0; Index < Claims.size(); ++Index) {
     TokenLoan &Loan = *Claims[Index].m_Loan;
     Loan.m_Tokens += Bucket.lend(Advance[Index], Now);
@@ -211,8 +209,8 @@
     if (Lent[Index] >= Waiting[Index])
       continue;
     ++m_ShortLoans;
-    Loan.m_RetryAfterMs = static_cast<uint32_t>(
-        std::clamp(RetryAfterMs, 1.0, kMaxRetryAfterMs));
+    Loan.m_RetryAfterMs =
+        static_cast<uint32_t>(std::clamp(RetryAfterMs, 1.0, kMaxRetryAfterMs));
   }
 }
 
@@ -236,9 +234,8 @@
       Shares[Index] += Part;
       Available -= Part;
     }
-    std::erase_if(Open, [&](size_t Index) {
-      return Shares[Index] >= Wants[Index];
-    });
+    std::erase_if(Open,
+                  [&](size_t Index) { return Shares[Index] >= Wants[Index]; });
   }
   return Shares;
 }
--- a/src/decision/control/AnnouncementController.cpp
+++ b/src/decision/control/AnnouncementController.cpp
@@ -31,8 +31,7 @@
       !isValidName(Instance.m_Name.m_Value))
     return;
   bool IsKnown = isKnown(Instance);
-  bool NeedsDrain =
-      IsKnown && Announcement.m_Departing && needsDrain(Instance);
+  bool NeedsDrain = IsKnown && Announcement.m_Departing && needsDrain(Instance);
   std::pair<DatabaseName, InstanceName> Key{Instance.m_Database,
                                             Instance.m_Name};
   if (IsKnown && !NeedsDrain) {
--- a/src/decision/control/ChangeController.cpp
+++ b/src/decision/control/ChangeController.cpp
@@ -50,10 +50,10 @@
     return reply(Event.m_Id, *First, Context);
   std::string Data = encode(Event.m_Change);
   if (Data.size() > kMaxChangeBytes)
-    return reply(Event.m_Id,
-                 refusal(ErrorKind::BodyTooLarge,
-                         "a change has at most 512 KiB"),
-                 Context);
+    return reply(
+        Event.m_Id,
+        refusal(ErrorKind::BodyTooLarge, "a change has at most 512 KiB"),
+        Context);
   std::optional<uint64_t> Index =
       Context.m_Log.propose(std::move(Data), Context.m_Now);
   if (!Index)
@@ -68,8 +68,8 @@
   if (std::optional<ChangeOutcome> First =
           Context.m_Board.m_State.outcomes().find(Record))
     return reply(Id, *First, Context);
-  std::optional<uint64_t> Index = Context.m_Log.proposeMembership(
-      Target, encode(Record), Context.m_Now);
+  std::optional<uint64_t> Index =
+      Context.m_Log.proposeMembership(Target, encode(Record), Context.m_Now);
   if (!Index)
     return reply(Id,
                  ErrorReport{ErrorKind::Overloaded,
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -57,9 +57,7 @@
   std::vector<FailoverRecord> m_Failovers;
   std::map<DatabaseName, std::string> m_FailoverSteps;
 
-  const Configuration &configuration() const {
-    return m_State.configuration();
-  }
+  const Configuration &configuration() const { return m_State.configuration(); }
   /// Returns the member with this identifier, or null.
   const ControlMember *findMember(MemberId Id) const;
 };
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -46,6 +46,8 @@
   MembershipController m_Membership;
   AnnouncementController m_Announcements;
   uint64_t m_ClusterId = 0;
+  /// As of the last applied entry; the log's own may not be committed yet.
+  Membership m_AppliedMembership;
   uint64_t m_AppliedSinceStart = 0;
   uint64_t m_Snapshots = 0;
   std::optional<Time> m_JoinedAt;
@@ -66,12 +68,14 @@
     const Snapshot &Base = m_Options.m_Log.m_Snapshot;
     if (!Base.m_Data.empty())
       m_Board.m_State = ControlState::decoded(Base.m_Data);
+    m_AppliedMembership = Base.m_Membership;
     m_Feed.onSnapshotInstalled();
     ConsensusOptions Options;
     Options.m_Self = m_Board.m_Self.m_Id;
     Options.m_ClusterId = m_ClusterId;
     Options.m_Seed = m_Options.m_Seed;
-    m_Log = std::make_unique<Consensus>(Options, std::move(m_Options.m_Log), Now);
+    m_Log =
+        std::make_unique<Consensus>(Options, std::move(m_Options.m_Log), Now);
   }
 
   ControlContext contextOf(ControlActions &Actions, Time Now) {
@@ -122,9 +126,9 @@
   static void refuseWhileJoining(const ControlEvent &Event,
                                  ControlActions &Actions) {
     ReplyToOperation Reply;
-    Reply.m_Error = ErrorReport{ErrorKind::NotLeader,
-                                "this control host has not joined a cluster",
-                                Ran::No, 0};
+    Reply.m_Error =
+        ErrorReport{ErrorKind::NotLeader,
+                    "this control host has not joined a cluster", Ran::No, 0};
     if (const OperatorChange *Change = std::get_if<OperatorChange>(&Event))
       Reply.m_Id = Change->m_Id;
     else if (const OperatorRead *Read = std::get_if<OperatorRead>(&Event))
@@ -154,9 +158,7 @@
     m_Links.sendToAll(JoinRequest{m_Board.m_Self}, Actions);
   }
 
-  bool isJoining() const {
-    return m_Board.m_Membership.m_Voters.empty();
-  }
+  bool isJoining() const { return m_Board.m_Membership.m_Voters.empty(); }
 
   std::set<Endpoint> wantedPeers() const {
     std::set<Endpoint> Peers;
@@ -363,6 +365,7 @@
 
   void install(const Snapshot &Snapshot, ControlContext &Context) {
     m_Board.m_State = ControlState::decoded(Snapshot.m_Data);
+    m_AppliedMembership = Snapshot.m_Membership;
     m_Feed.onSnapshotInstalled();
     Context.reportStateChange("installed a snapshot up to index " +
                               std::to_string(Snapshot.m_Index));
@@ -371,6 +374,8 @@
   void apply(const LogEntry &Entry, ControlContext &Context) {
     std::optional<ControlState::Applied> Applied = m_Board.m_State.apply(Entry);
     ++m_AppliedSinceStart;
+    if (Entry.m_Membership)
+      m_AppliedMembership = *Entry.m_Membership;
     if (!Applied)
       return;
     if (Applied->m_Accepted)
@@ -384,8 +389,8 @@
       return;
     std::string Data = m_Board.m_State.encoded();
     PersistSnapshot Action;
-    Action.m_Snapshot =
-        Snapshot{m_Board.m_State.appliedTerm(), Index, m_Log->membership(), Data};
+    Action.m_Snapshot = Snapshot{m_Board.m_State.appliedTerm(), Index,
+                                 m_AppliedMembership, Data};
     Context.m_Actions.push_back(std::move(Action));
     m_Log->compact(Index, std::move(Data));
     ++m_Snapshots;
@@ -397,8 +402,8 @@
     m_Board.m_Term = m_Log->term();
     m_Board.m_Leader = m_Log->leader();
     m_Board.m_Membership = m_Log->membership();
-    m_Board.m_IsLeader = m_Log->isLeader() &&
-                         m_Board.m_State.appliedTerm() == m_Board.m_Term;
+    m_Board.m_IsLeader =
+        m_Log->isLeader() && m_Board.m_State.appliedTerm() == m_Board.m_Term;
     bool IsNewTerm = OldTerm != m_Board.m_Term;
     if (WasLeader && (!m_Board.m_IsLeader || IsNewTerm)) {
       Context.reportStateChange("leads no longer");
--- a/src/decision/control/FailoverController.cpp
+++ b/src/decision/control/FailoverController.cpp
@@ -88,7 +88,8 @@
     finish(*Group->second, Context);
     m_Groups.erase(Group);
   }
-  if (std::optional<std::string> Reason = reasonToFailOver(Name, Record, Context.m_Now))
+  if (std::optional<std::string> Reason =
+          reasonToFailOver(Name, Record, Context.m_Now))
     return start(Name, *Reason, Context);
   FollowSupervisor &Followers = m_Followers[Name];
   auto Reports = m_Reports.find(Name);
--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -53,7 +53,8 @@
 void FeedController::startRound(ControlContext &Context) {
   uint64_t Number = 0;
   if (m_Board.m_IsLeader) {
-    std::optional<uint64_t> Read = Context.m_Log.requestReadIndex(Context.m_Now);
+    std::optional<uint64_t> Read =
+        Context.m_Log.requestReadIndex(Context.m_Now);
     if (!Read)
       return;
     Number = *Read;
@@ -222,7 +223,8 @@
   Accepted.m_Change.m_Actor.clear();
   Accepted.m_Bytes = encode(Accepted.m_Change).size();
   m_Changes.push_back(std::move(Accepted));
-  while (!m_Changes.empty() && m_Changes.front().m_Index + kKeptEntries < Index) {
+  while (!m_Changes.empty() &&
+         m_Changes.front().m_Index + kKeptEntries < Index) {
     m_ChangesAfter = m_Changes.front().m_Index;
     m_Changes.pop_front();
   }
--- a/src/decision/control/FollowSupervisor.cpp
+++ b/src/decision/control/FollowSupervisor.cpp
@@ -45,10 +45,10 @@
   auto Found = m_Targets.find(Call.m_Instance);
   if (Found == m_Targets.end() || Call.m_Term != m_Term)
     return;
-  Found->second.m_IsSettled =
-      Answer.m_HttpStatus == kOk && Answer.m_Status &&
-      Answer.m_Status->m_Instance == Call.m_Instance &&
-      Answer.m_Status->m_SealedTerm == m_Term && !Answer.m_Status->m_IsPrimary;
+  Found->second.m_IsSettled = Answer.m_HttpStatus == kOk && Answer.m_Status &&
+                              Answer.m_Status->m_Instance == Call.m_Instance &&
+                              Answer.m_Status->m_SealedTerm == m_Term &&
+                              !Answer.m_Status->m_IsPrimary;
 }
 
 void FollowSupervisor::onDisagreement(const InstanceName &Instance) {
--- a/src/decision/control/GroupFailover.cpp
+++ b/src/decision/control/GroupFailover.cpp
@@ -140,8 +140,8 @@
   for (const std::pair<const InstanceName, InstanceRecord> &Entry :
        Record.m_Instances) {
     Target &Target = m_Targets[Entry.first];
-    bool IsTooEarly = Target.m_AskedAt &&
-                      Context.m_Now - *Target.m_AskedAt < kRetryInterval;
+    bool IsTooEarly =
+        Target.m_AskedAt && Context.m_Now - *Target.m_AskedAt < kRetryInterval;
     if (m_Sealed.contains(Entry.first) || Target.m_IsAwaited || IsTooEarly)
       continue;
     Target = {Context.m_Now, true};
@@ -186,8 +186,8 @@
   if (Instance == Record.m_Instances.end())
     return restart("the chosen instance was removed", Context);
   Target &Target = m_Targets[m_Promoted];
-  bool IsTooEarly = Target.m_AskedAt &&
-                    Context.m_Now - *Target.m_AskedAt < kRetryInterval;
+  bool IsTooEarly =
+      Target.m_AskedAt && Context.m_Now - *Target.m_AskedAt < kRetryInterval;
   if (Target.m_IsAwaited || IsTooEarly)
     return;
   // The instance may have been promoted although its answer was lost, so no
--- a/src/decision/control/LivenessController.cpp
+++ b/src/decision/control/LivenessController.cpp
@@ -45,10 +45,9 @@
 }
 
 void LivenessController::onLeaderList(const LiveHosts &List) {
-  bool IsNewer =
-      List.m_Term > m_Board.m_LiveHosts.m_Term ||
-      (List.m_Term == m_Board.m_LiveHosts.m_Term &&
-       List.m_Version > m_Board.m_LiveHosts.m_Version);
+  bool IsNewer = List.m_Term > m_Board.m_LiveHosts.m_Term ||
+                 (List.m_Term == m_Board.m_LiveHosts.m_Term &&
+                  List.m_Version > m_Board.m_LiveHosts.m_Version);
   if (IsNewer && List.m_Version > 0)
     m_Board.m_LiveHosts = List;
 }
--- a/src/decision/control/MembershipController.cpp
+++ b/src/decision/control/MembershipController.cpp
@@ -14,9 +14,8 @@
 }
 
 void removeMember(std::vector<ControlMember> &Members, MemberId Id) {
-  std::erase_if(Members, [&](const ControlMember &Member) {
-    return Member.m_Id == Id;
-  });
+  std::erase_if(Members,
+                [&](const ControlMember &Member) { return Member.m_Id == Id; });
 }
 
 const ControlMember *findHost(const std::vector<ControlMember> &Members,
