--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -22,17 +22,6 @@
 
 } // namespace
 
-PersistedLog bootstrapLog(const ControlMember &Self) {
-  constexpr uint64_t kFirst = 1;
-  PersistedLog Log;
-  Log.m_HardState.m_Term = kFirst;
-  Log.m_Snapshot.m_Term = kFirst;
-  Log.m_Snapshot.m_Index = kFirst;
-  Log.m_Snapshot.m_Membership.m_Voters = {Self};
-  Log.m_Snapshot.m_Data = ControlState::initial(kFirst, kFirst).encoded();
-  return Log;
-}
-
 struct ControlCore::State {
   ControlOptions m_Options;
   ControlBlackboard m_Board;
@@ -46,8 +35,6 @@
   MembershipController m_Membership;
   AnnouncementController m_Announcements;
   uint64_t m_ClusterId = 0;
-  /// As of the last applied entry; the log's own may not be committed yet.
-  Membership m_AppliedMembership;
   uint64_t m_AppliedSinceStart = 0;
   uint64_t m_Snapshots = 0;
   std::optional<Time> m_JoinedAt;
@@ -68,7 +55,6 @@
     const Snapshot &Base = m_Options.m_Log.m_Snapshot;
     if (!Base.m_Data.empty())
       m_Board.m_State = ControlState::decoded(Base.m_Data);
-    m_AppliedMembership = Base.m_Membership;
     m_Feed.onSnapshotInstalled();
     ConsensusOptions Options;
     Options.m_Self = m_Board.m_Self.m_Id;
@@ -365,7 +351,6 @@
 
   void install(const Snapshot &Snapshot, ControlContext &Context) {
     m_Board.m_State = ControlState::decoded(Snapshot.m_Data);
-    m_AppliedMembership = Snapshot.m_Membership;
     m_Feed.onSnapshotInstalled();
     Context.reportStateChange("installed a snapshot up to index " +
                               std::to_string(Snapshot.m_Index));
@@ -374,8 +359,6 @@
   void apply(const LogEntry &Entry, ControlContext &Context) {
     std::optional<ControlState::Applied> Applied = m_Board.m_State.apply(Entry);
     ++m_AppliedSinceStart;
-    if (Entry.m_Membership)
-      m_AppliedMembership = *Entry.m_Membership;
     if (!Applied)
       return;
     if (Applied->m_Accepted)
@@ -387,12 +370,8 @@
     uint64_t Index = m_Board.m_State.appliedIndex();
     if (Index < m_Log->snapshotIndex() + kCompactionInterval)
       return;
-    std::string Data = m_Board.m_State.encoded();
-    PersistSnapshot Action;
-    Action.m_Snapshot = Snapshot{m_Board.m_State.appliedTerm(), Index,
-                                 m_AppliedMembership, Data};
-    Context.m_Actions.push_back(std::move(Action));
-    m_Log->compact(Index, std::move(Data));
+    m_Log->compact(Index, m_Board.m_State.encoded());
+    Context.m_Actions.push_back(PersistSnapshot{m_Log->snapshot()});
     ++m_Snapshots;
   }
 
--- a/src/decision/control/ControlCore.h
+++ b/src/decision/control/ControlCore.h
@@ -21,10 +21,6 @@
   uint64_t m_Seed = 0;
 };
 
-/// The log of a new cluster with one member, to be persisted before the first
-/// start.
-PersistedLog bootstrapLog(const ControlMember &Self);
-
 class ControlCore {
 public:
   ControlCore(const ControlOptions &Options, Time Now);
--- a/src/decision/control/ControlState.cpp
+++ b/src/decision/control/ControlState.cpp
@@ -31,13 +31,6 @@
   return Applied{Outcome, std::move(Received)};
 }
 
-ControlState ControlState::initial(uint64_t Term, uint64_t Index) {
-  ControlState State;
-  State.m_AppliedTerm = Term;
-  State.m_AppliedIndex = Index;
-  return State;
-}
-
 std::string ControlState::encoded() const { return encodeValue(*this); }
 
 ControlState ControlState::decoded(std::string_view Bytes) {
--- a/src/decision/control/ControlState.h
+++ b/src/decision/control/ControlState.h
@@ -28,8 +28,6 @@
   const OutcomeTable &outcomes() const { return m_Outcomes; }
   const AuditTrail &audit() const { return m_Audit; }
 
-  /// The state of a new cluster, whose log begins after Index.
-  static ControlState initial(uint64_t Term, uint64_t Index);
   std::string encoded() const;
   /// Throws DecodeError.
   static ControlState decoded(std::string_view Bytes);
