--- a/src/decision/proxy/SessionToken.cpp
+++ b/src/decision/proxy/SessionToken.cpp
@@ -7,9 +7,14 @@
 
 namespace almondpier {
 
-Session Session::withUnknownPast(const OrganisationName &Organisation) {
+Session Session::of(const OrganisationName &Organisation) {
   Session Result;
   Result.m_Organisation = Organisation;
+  return Result;
+}
+
+Session Session::withUnknownPast(const OrganisationName &Organisation) {
+  Session Result = of(Organisation);
   Result.m_HasOverflowed = true;
   return Result;
 }
--- a/src/decision/proxy/SessionToken.h
+++ b/src/decision/proxy/SessionToken.h
@@ -27,6 +27,8 @@
 class Session {
 public:
   Session() = default;
+  /// A session that wrote nothing.
+  static Session of(const OrganisationName &Organisation);
   /// A session whose earlier writes are unknown, as after a missing, foreign or
   /// damaged token.
   static Session withUnknownPast(const OrganisationName &Organisation);
--- a/src/proxy/CallerFrontend.cpp
+++ b/src/proxy/CallerFrontend.cpp
@@ -12,7 +12,7 @@
 }
 
 CallerFrontend::CallerFrontend(EventLoop &Loop, const Endpoint &Local,
-                               uint32_t MaxConnections, Dispatcher &Events,
+                               uint32_t MaxConnections, ProxyDispatcher &Events,
                                Callbacks Callbacks)
     : m_Loop(Loop), m_Events(Events), m_Callbacks(std::move(Callbacks)),
       m_Server(
--- a/src/proxy/CallerFrontend.h
+++ b/src/proxy/CallerFrontend.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "almondpier/Telemetry.h"
-#include "proxy/Dispatcher.h"
+#include "proxy/ProxyDispatcher.h"
 
 #include <unordered_map>
 
@@ -19,7 +19,7 @@
 
   /// Throws Error when the endpoint cannot be bound.
   CallerFrontend(EventLoop &Loop, const Endpoint &Local,
-                 uint32_t MaxConnections, Dispatcher &Events,
+                 uint32_t MaxConnections, ProxyDispatcher &Events,
                  Callbacks Callbacks);
 
   void reply(const ReplyToCaller &Action);
@@ -42,7 +42,7 @@
   void send(HttpRequestId Id, HttpResponse Response);
 
   EventLoop &m_Loop;
-  Dispatcher &m_Events;
+  ProxyDispatcher &m_Events;
   Callbacks m_Callbacks;
   std::unordered_map<uint64_t, Open> m_Requests;
   std::unordered_map<uint64_t, std::vector<HttpRequestId>> m_ByConnection;
--- a/src/proxy/InstanceConnections.h
+++ b/src/proxy/InstanceConnections.h
@@ -2,7 +2,7 @@
 /// Connections to the statement endpoints of database instances.
 #pragma once
 
-#include "proxy/Dispatcher.h"
+#include "proxy/ProxyDispatcher.h"
 
 #include <unordered_map>
 
@@ -10,7 +10,7 @@
 
 class InstanceConnections {
 public:
-  InstanceConnections(EventLoop &Loop, Dispatcher &Events)
+  InstanceConnections(EventLoop &Loop, ProxyDispatcher &Events)
       : m_Loop(Loop), m_Events(Events) {}
 
   void open(const OpenConnection &Action);
@@ -20,7 +20,7 @@
 
 private:
   EventLoop &m_Loop;
-  Dispatcher &m_Events;
+  ProxyDispatcher &m_Events;
   std::unordered_map<uint64_t, std::unique_ptr<HttpClientConnection>>
       m_Connections;
   uint64_t m_OpenedCount = 0;
--- a/src/proxy/Dispatcher.cpp
+++ b/src/proxy/ProxyDispatcher.cpp
@@ -1,4 +1,4 @@
-#include "proxy/Dispatcher.h"
+#include "proxy/ProxyDispatcher.h"
 
 #include "almondpier/Telemetry.h"
 #include "decision/Invariant.h"
@@ -7,7 +7,7 @@
 
 namespace almondpier {
 
-void Dispatcher::dispatch(ProxyEvent Event) {
+void ProxyDispatcher::dispatch(ProxyEvent Event) {
   m_Events.push_back(std::move(Event));
   if (m_IsDispatching)
     return;
@@ -24,7 +24,7 @@
   m_IsDispatching = false;
 }
 
-void Dispatcher::handleNext() {
+void ProxyDispatcher::handleNext() {
   ProxyEvent Event = std::move(m_Events.front());
   m_Events.pop_front();
   ProxyActions Actions;
@@ -33,7 +33,7 @@
     execute(Action);
 }
 
-void Dispatcher::execute(ProxyAction &Action) {
+void ProxyDispatcher::execute(ProxyAction &Action) {
   try {
     m_Execute(Action);
   } catch (const Error &Failure) {
--- a/src/proxy/Dispatcher.h
+++ b/src/proxy/ProxyDispatcher.h
@@ -11,11 +11,12 @@
 
 /// Handles events in order. An event that arises while actions are executed
 /// waits until they are done. The process ends when an invariant is broken.
-class Dispatcher {
+class ProxyDispatcher {
 public:
   using Executor = std::function<void(ProxyAction &)>;
 
-  Dispatcher(EventLoop &Loop, ProxyCore &Core) : m_Loop(Loop), m_Core(Core) {}
+  ProxyDispatcher(EventLoop &Loop, ProxyCore &Core)
+      : m_Loop(Loop), m_Core(Core) {}
   void setExecutor(Executor Execute) { m_Execute = std::move(Execute); }
   void dispatch(ProxyEvent Event);
   /// Actions that failed, such as messages over the size limit.
--- a/src/proxy/PeerLinks.cpp
+++ b/src/proxy/ProxyLinks.cpp
@@ -1,11 +1,11 @@
-#include "proxy/PeerLinks.h"
+#include "proxy/ProxyLinks.h"
 
 #include "almondpier/Telemetry.h"
 
 namespace almondpier {
 
-PeerLinks::PeerLinks(EventLoop &Loop, const FleetSecret &Secret,
-                     const Endpoint &Local, Dispatcher &Events)
+ProxyLinks::ProxyLinks(EventLoop &Loop, const FleetSecret &Secret,
+                       const Endpoint &Local, ProxyDispatcher &Events)
     : m_Loop(Loop), m_Secret(Secret), m_Events(Events),
       m_Listener(Loop, Secret, Local,
                  [this](std::unique_ptr<Link> Accepted) {
@@ -17,7 +17,7 @@
                     // socket keeps.
                   }) {}
 
-Link::Callbacks PeerLinks::callbacksFor(LinkId Id) {
+Link::Callbacks ProxyLinks::callbacksFor(LinkId Id) {
   return Link::Callbacks{
       [this, Id] {
         m_Links.at(Id.m_Value).m_WasUp = true;
@@ -29,26 +29,26 @@
       [this, Id](const std::string &Reason) { onDown(Id, Reason); }};
 }
 
-void PeerLinks::open(const OpenLink &Action) {
+void ProxyLinks::open(const OpenLink &Action) {
   m_Links[Action.m_Link.m_Value] =
       Entry{Link::connect(m_Loop, m_Secret, Action.m_Peer,
                           callbacksFor(Action.m_Link)),
             Action.m_Peer, false};
 }
 
-void PeerLinks::accept(std::unique_ptr<Link> Accepted) {
+void ProxyLinks::accept(std::unique_ptr<Link> Accepted) {
   m_LastEven += 2;
   LinkId Id{m_LastEven};
   Accepted->setCallbacks(callbacksFor(Id));
   m_Links[Id.m_Value] = Entry{std::move(Accepted), std::nullopt, false};
 }
 
-void PeerLinks::countBytes(const Link &Ended) {
+void ProxyLinks::countBytes(const Link &Ended) {
   m_BytesSent += Ended.bytesSent();
   m_BytesReceived += Ended.bytesReceived();
 }
 
-void PeerLinks::onDown(LinkId Id, const std::string &Reason) {
+void ProxyLinks::onDown(LinkId Id, const std::string &Reason) {
   auto Found = m_Links.find(Id.m_Value);
   if (Found == m_Links.end())
     return;
@@ -62,7 +62,7 @@
   m_Events.dispatch(LinkClosed{Id, Reason});
 }
 
-void PeerLinks::close(const CloseLink &Action) {
+void ProxyLinks::close(const CloseLink &Action) {
   auto Found = m_Links.find(Action.m_Link.m_Value);
   if (Found == m_Links.end())
     return;
@@ -73,17 +73,17 @@
   m_Links.erase(Found);
 }
 
-void PeerLinks::send(const SendMessage &Action) {
+void ProxyLinks::send(const SendMessage &Action) {
   auto Found = m_Links.find(Action.m_Link.m_Value);
   if (Found != m_Links.end())
     Found->second.m_Link->send(Action.m_Message);
 }
 
-void PeerLinks::send(const SendDatagram &Action) {
+void ProxyLinks::send(const SendDatagram &Action) {
   m_Datagrams.send(Action.m_Peer, Action.m_Message);
 }
 
-CounterList PeerLinks::counters() const {
+CounterList ProxyLinks::counters() const {
   uint64_t Sent = m_BytesSent;
   uint64_t Received = m_BytesReceived;
   for (const auto &[Id, Entry] : m_Links) {
--- a/src/proxy/PeerLinks.h
+++ b/src/proxy/ProxyLinks.h
@@ -2,16 +2,16 @@
 /// Links to and from other processes.
 #pragma once
 
-#include "proxy/Dispatcher.h"
+#include "proxy/ProxyDispatcher.h"
 
 #include <unordered_map>
 
 namespace almondpier {
 
-class PeerLinks {
+class ProxyLinks {
 public:
-  PeerLinks(EventLoop &Loop, const FleetSecret &Secret, const Endpoint &Local,
-            Dispatcher &Events);
+  ProxyLinks(EventLoop &Loop, const FleetSecret &Secret, const Endpoint &Local,
+             ProxyDispatcher &Events);
 
   void open(const OpenLink &Action);
   void close(const CloseLink &Action);
@@ -36,7 +36,7 @@
 
   EventLoop &m_Loop;
   FleetSecret m_Secret;
-  Dispatcher &m_Events;
+  ProxyDispatcher &m_Events;
   std::unordered_map<uint64_t, Entry> m_Links;
   std::vector<std::unique_ptr<Link>> m_Closed;
   uint64_t m_LastEven = 0;
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -3,7 +3,7 @@
 #include "almondpier/Telemetry.h"
 #include "proxy/CallerFrontend.h"
 #include "proxy/InstanceConnections.h"
-#include "proxy/PeerLinks.h"
+#include "proxy/ProxyLinks.h"
 #include "proxy/StatusProber.h"
 
 #include <random>
@@ -31,10 +31,10 @@
 struct ProxyServer::State {
   EventLoop &m_Loop;
   ProxyCore m_Core;
-  Dispatcher m_Events;
+  ProxyDispatcher m_Events;
   InstanceConnections m_Instances;
   StatusProber m_Prober;
-  PeerLinks m_Links;
+  ProxyLinks m_Links;
   CallerFrontend m_Callers;
   Timer m_Tick;
   std::unique_ptr<Delay> m_End;
--- a/src/proxy/StatusProber.h
+++ b/src/proxy/StatusProber.h
@@ -2,7 +2,7 @@
 /// Asks instances for their status over connections that are kept alive.
 #pragma once
 
-#include "proxy/Dispatcher.h"
+#include "proxy/ProxyDispatcher.h"
 
 #include <unordered_map>
 
@@ -10,7 +10,7 @@
 
 class StatusProber {
 public:
-  StatusProber(EventLoop &Loop, Dispatcher &Events)
+  StatusProber(EventLoop &Loop, ProxyDispatcher &Events)
       : m_Loop(Loop), m_Events(Events) {}
 
   void start(const ProbeInstance &Action);
@@ -36,7 +36,7 @@
   void finish(ProbeId Id, std::optional<InstanceStatus> Status);
 
   EventLoop &m_Loop;
-  Dispatcher &m_Events;
+  ProxyDispatcher &m_Events;
   std::unordered_map<uint64_t, Probe> m_Probes;
   std::map<Endpoint, std::vector<Connection>> m_Idle;
   uint64_t m_ProbeCount = 0;
--- a/tests/proxy/FakeControl.h
+++ b/tests/proxy/FakeControl.h
@@ -34,6 +34,8 @@
     Reply.m_ControlMembers = m_Members;
     if (Poll.m_LiveHostsVersion != m_Live.m_Version)
       Reply.m_LiveHosts = m_Live;
+    if (Poll.m_AppliedIndex >= m_Log.size())
+      return {Reply};
     if (Poll.m_AppliedIndex != 0) {
       Reply.m_Changes.assign(m_Log.begin() +
                                  static_cast<ptrdiff_t>(Poll.m_AppliedIndex),
--- a/tests/proxy/FakeGroup.h
+++ b/tests/proxy/FakeGroup.h
@@ -12,7 +12,7 @@
 class FakeGroup {
 public:
   FakeGroup(std::string Name, uint16_t FirstPort, size_t Size)
-      : m_Name{std::move(Name)} {
+      : m_Name{std::move(Name)}, m_Lags(Size) {
     for (size_t Number = 0; Number < Size; ++Number) {
       InstanceRecord Record;
       Record.m_Database = m_Name;
@@ -48,7 +48,7 @@
   Position positionOf(size_t Number, Time Now) const {
     Position Result{1, 1};
     for (const Entry &Entry : m_Log)
-      if (Number == 0 || Entry.m_At + m_Lag <= Now)
+      if (Entry.m_At + m_Lags[Number] <= Now)
         ++Result.m_Index;
     return Result;
   }
@@ -102,7 +102,8 @@
 
   DatabaseName m_Name;
   std::vector<InstanceRecord> m_Instances;
-  Duration m_Lag{};
+  /// Replication lag of each instance; zero for the primary.
+  std::vector<Duration> m_Lags;
   uint64_t m_Statements = 0;
   /// Instances do not answer statements while set.
   bool m_IsStuck = false;
