Let a member whose removal is not committed stand for election

Cause: a restarted member compared itself with the membership at its commit index. Two members stayed without a leader. Ruled out: the vote rules; the other member asked for votes and was refused because its log was older. Change: the member uses the membership before the newest one, which is committed. Before: no leader within 4 s in the new test; after: the remaining member leads.

--- a/src/decision/consensus/ConsensusState.h
+++ b/src/decision/consensus/ConsensusState.h
@@ -22,7 +22,8 @@
   /// A member whose removal is not known to be committed still stands for
   /// election: it may be the only one whose log is new enough.
   bool mayCampaign() const {
-    return isSelfVoter() || isVoter(m_Log.membershipAt(m_Commit), m_Self);
+    return isSelfVoter() || (m_Log.membershipIndex() > m_Commit &&
+                             isVoter(m_Log.previousMembership(), m_Self));
   }
   bool isLeader() const { return m_Phase == Phase::Leader; }
   void send(MemberId To, ConsensusBody Body);
--- a/src/decision/consensus/Elections.cpp
+++ b/src/decision/consensus/Elections.cpp
@@ -10,8 +10,7 @@
 
 Consensus::State::State(const ConsensusOptions &Options, PersistedLog &&Log,
                         Time Now)
-    : m_Options(Options), m_Self(Options.m_Self),
-      m_Random(seedOf(Options)),
+    : m_Options(Options), m_Self(Options.m_Self), m_Random(seedOf(Options)),
       m_HardState(Log.m_HardState), m_Log(std::move(Log)),
       m_Commit(m_Log.snapshot()->m_Index), m_LastHeardLeader(Now) {
   resetElectionDeadline(Now);
--- a/src/decision/consensus/ReplicatedLog.h
+++ b/src/decision/consensus/ReplicatedLog.h
@@ -42,6 +42,13 @@
   /// The newest membership in the log, committed or not.
   const Membership &membership() const { return m_Memberships.back().second; }
   uint64_t membershipIndex() const { return m_Memberships.back().first; }
+  /// The membership before the newest one; committed, because a change is
+  /// proposed only after the one before it is committed.
+  const Membership &previousMembership() const {
+    return m_Memberships[m_Memberships.size() < 2 ? 0
+                                                  : m_Memberships.size() - 2]
+        .second;
+  }
   const Membership &membershipAt(uint64_t Index) const;
 
 private:
