--- /dev/null
+++ b/include/almondpier/ControlHost.h
@@ -0,0 +1,51 @@
+/// \file
+/// A control host: the control core with its sockets, files and HTTP endpoints.
+#pragma once
+
+#include "almondpier/Net.h"
+
+namespace almondpier {
+
+struct ControlHostSettings {
+  HostName m_Host;
+  AvailabilityZone m_Zone;
+  /// TCP and UDP endpoint for proxies and other control hosts.
+  Endpoint m_Peer;
+  /// HTTP endpoint for operators, announcements and metrics.
+  Endpoint m_Operations;
+  FleetSecret m_FleetSecret;
+  std::string m_AnnouncementSecret;
+  /// Name of each operator by the digest of the operator's key.
+  std::map<KeyDigest, std::string> m_Operators;
+  std::string m_DataFolder;
+  /// Forms a new cluster of one when the data folder is empty.
+  bool m_Bootstrap = false;
+  /// Peer endpoints of control hosts that an empty data folder joins.
+  std::vector<Endpoint> m_Join;
+};
+
+/// Parses NAME:HEXDIGEST pairs separated by commas. Throws
+/// std::invalid_argument whose message names the remedy.
+std::map<KeyDigest, std::string> parseOperatorKeys(std::string_view Text);
+
+class ControlHost {
+public:
+  /// Throws Error when the data folder cannot be used or an endpoint cannot be
+  /// bound.
+  ControlHost(EventLoop &Loop, const ControlHostSettings &Settings);
+  ~ControlHost();
+  ControlHost(const ControlHost &) = delete;
+  ControlHost &operator=(const ControlHost &) = delete;
+
+  /// Runs the loop until the host has shut down. Throws what ended it
+  /// otherwise, such as InvariantViolation.
+  void run();
+  /// Hands over leadership, finishes answers in flight and ends run().
+  void shutDown();
+
+private:
+  struct State;
+  std::unique_ptr<State> m_State;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/control/ControlHost.cpp
@@ -0,0 +1,223 @@
+#include "almondpier/ControlHost.h"
+
+#include "almondpier/Telemetry.h"
+#include "control/ControlStore.h"
+#include "control/Identifier.h"
+#include "control/InstanceCaller.h"
+#include "control/OperationsServer.h"
+
+#include <deque>
+
+namespace almondpier {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+/// A peer that reads nothing costs at most this much memory; its link is closed
+/// and opened again.
+constexpr size_t kMaxPendingBytes = 16U << 20U;
+/// Longest time that answers in flight get at the end.
+constexpr Duration kDrainLimit = std::chrono::seconds(2);
+
+uint64_t wallTimeMs() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+} // namespace
+
+std::map<KeyDigest, std::string> parseOperatorKeys(std::string_view Text) {
+  constexpr size_t kHexDigits = 64;
+  constexpr int kHexadecimal = 16;
+  std::map<KeyDigest, std::string> Operators;
+  while (!Text.empty()) {
+    size_t Comma = Text.find(',');
+    std::string Pair(Text.substr(0, Comma));
+    Text.remove_prefix(Comma == std::string_view::npos ? Text.size()
+                                                       : Comma + 1);
+    size_t Colon = Pair.find(':');
+    std::string Name = Pair.substr(0, Colon);
+    std::string Hex = Colon == std::string::npos ? "" : Pair.substr(Colon + 1);
+    if (!isValidName(Name) || Hex.size() != kHexDigits ||
+        Hex.find_first_not_of("0123456789abcdef") != std::string::npos)
+      throw std::invalid_argument(
+          "operator keys are written NAME:DIGEST,... with the digest of each "
+          "key in 64 lower-case hexadecimal digits; 'almondpier digest' prints "
+          "it");
+    KeyDigest Digest;
+    for (size_t Index = 0; Index < Digest.m_Bytes.size(); ++Index)
+      Digest.m_Bytes[Index] = static_cast<uint8_t>(
+          std::stoi(Hex.substr(2 * Index, 2), nullptr, kHexadecimal));
+    Operators.emplace(Digest, Name);
+  }
+  return Operators;
+}
+
+struct ControlHost::State {
+  EventLoop &m_Loop;
+  ControlHostSettings m_Settings;
+  ControlStore m_Store;
+  ControlCore m_Core;
+  OperationsServer m_Operations;
+  InstanceCaller m_Instances;
+  std::map<LinkId, std::unique_ptr<Link>> m_Links;
+  /// Links that ended inside one of their own callbacks.
+  std::vector<std::unique_ptr<Link>> m_EndedLinks;
+  uint64_t m_LastAccepted = 0;
+  LinkListener m_Listener;
+  DatagramSocket m_Datagrams;
+  Timer m_Ticks;
+  std::deque<ControlEvent> m_Events;
+  bool m_IsHandling = false;
+  std::optional<Time> m_EndAt;
+  std::exception_ptr m_Failure;
+
+  State(EventLoop &Loop, const ControlHostSettings &Settings)
+      : m_Loop(Loop), m_Settings(Settings), m_Store(Settings.m_DataFolder),
+        m_Core(coreOptions(), Loop.now()),
+        m_Operations(Loop, m_Settings, m_Core,
+                     [this](const ControlEvent &Event) { post(Event); }),
+        m_Instances(Loop, [this](const ControlEvent &Event) { post(Event); }),
+        m_Listener(Loop, m_Settings.m_FleetSecret, m_Settings.m_Peer,
+                   [this](std::unique_ptr<Link> Accepted) {
+                     accept(std::move(Accepted));
+                   }),
+        m_Datagrams(Loop, m_Settings.m_FleetSecret, m_Settings.m_Peer,
+                    [this](const Endpoint &Sender, Message Received) {
+                      post(DatagramReceived{Sender, std::move(Received)});
+                    }),
+        m_Ticks(Loop, kTickInterval, [this] { tick(); }) {}
+
+  ControlOptions coreOptions() {
+    ControlOptions Options;
+    Options.m_Self =
+        ControlMember{m_Store.memberId(), m_Settings.m_Host, m_Settings.m_Zone,
+                      m_Settings.m_Peer, m_Settings.m_Operations};
+    if (m_Settings.m_Bootstrap && m_Store.clusterId() == 0)
+      m_Store.bootstrap(Options.m_Self);
+    Options.m_Log = m_Store.takeLog();
+    Options.m_ClusterId = m_Store.clusterId();
+    Options.m_JoinPeers = m_Settings.m_Join;
+    Options.m_Seed = drawIdentifier();
+    return Options;
+  }
+
+  void tick() {
+    m_EndedLinks.clear();
+    post(ClockTick{wallTimeMs()});
+    bool IsAnswered = m_Operations.requestsInFlight() == 0;
+    if (m_EndAt && (IsAnswered || m_Loop.now() >= *m_EndAt))
+      m_Loop.stop();
+  }
+
+  /// Events that arise while another is handled wait for their turn.
+  void post(const ControlEvent &Event) {
+    m_Events.push_back(Event);
+    if (m_IsHandling || m_Failure)
+      return;
+    m_IsHandling = true;
+    try {
+      handleEvents();
+    } catch (...) {
+      // Exceptions must not pass through the event loop, which is written in C.
+      m_Failure = std::current_exception();
+      m_Loop.stop();
+    }
+    m_IsHandling = false;
+  }
+
+  void handleEvents() {
+    while (!m_Events.empty()) {
+      ControlEvent Event = std::move(m_Events.front());
+      m_Events.pop_front();
+      ControlActions Actions;
+      m_Core.handle(Event, m_Loop.now(), Actions);
+      for (const ControlAction &Action : Actions)
+        std::visit([&](const auto &Value) { carryOut(Value); }, Action);
+    }
+  }
+
+  void accept(std::unique_ptr<Link> Accepted) {
+    m_LastAccepted += 2;
+    addLink(LinkId{m_LastAccepted}, std::move(Accepted));
+  }
+
+  Link::Callbacks callbacksOf(LinkId Id) {
+    return {[this, Id] { post(LinkOpened{Id}); },
+            [this, Id](Message Received) {
+              post(MessageReceived{Id, std::move(Received)});
+            },
+            [this, Id](const std::string &Reason) {
+              endLink(Id);
+              post(LinkClosed{Id, Reason});
+            }};
+  }
+
+  void addLink(LinkId Id, std::unique_ptr<Link> Added) {
+    Added->setCallbacks(callbacksOf(Id));
+    m_Links[Id] = std::move(Added);
+  }
+
+  void endLink(LinkId Id) {
+    auto Found = m_Links.find(Id);
+    if (Found == m_Links.end())
+      return;
+    Found->second->setCallbacks(
+        {[] {}, [](const Message &) {}, [](const std::string &) {}});
+    m_EndedLinks.push_back(std::move(Found->second));
+    m_Links.erase(Found);
+  }
+
+  // Actions.
+
+  void carryOut(const PersistLog &Action) { m_Store.persist(Action); }
+  void carryOut(const PersistSnapshot &Action) {
+    m_Store.persistSnapshot(Action.m_Snapshot);
+  }
+  void carryOut(const PersistCluster &Action) {
+    m_Store.initialise(Action.m_ClusterId, {});
+  }
+  void carryOut(const ReplyToOperation &Action) { m_Operations.reply(Action); }
+  void carryOut(const CallInstance &Action) { m_Instances.call(Action); }
+  void carryOut(const OpenLink &Action) {
+    m_Links[Action.m_Link] =
+        Link::connect(m_Loop, m_Settings.m_FleetSecret, Action.m_Peer,
+                      callbacksOf(Action.m_Link));
+  }
+  void carryOut(const CloseLink &Action) { endLink(Action.m_Link); }
+  void carryOut(const SendMessage &Action) {
+    auto Found = m_Links.find(Action.m_Link);
+    if (Found == m_Links.end())
+      return;
+    if (Found->second->pendingBytes() <= kMaxPendingBytes) {
+      Found->second->send(Action.m_Message);
+      return;
+    }
+    endLink(Action.m_Link);
+    post(LinkClosed{Action.m_Link, "the peer does not read"});
+  }
+  static void carryOut(const ReportStateChange &Action) {
+    writeLog(LogLevel::Info, Action.m_Text);
+  }
+  void carryOut(const ShutdownComplete & /*Action*/) {
+    m_Operations.stopAccepting();
+    m_EndAt = m_Loop.now() + kDrainLimit;
+  }
+};
+
+ControlHost::ControlHost(EventLoop &Loop, const ControlHostSettings &Settings)
+    : m_State(std::make_unique<State>(Loop, Settings)) {}
+
+ControlHost::~ControlHost() = default;
+
+void ControlHost::run() {
+  m_State->m_Loop.run();
+  if (m_State->m_Failure)
+    std::rethrow_exception(m_State->m_Failure);
+}
+
+void ControlHost::shutDown() { m_State->post(ShutdownRequested{}); }
+
+} // namespace almondpier
--- /dev/null
+++ b/src/control/ControlStore.cpp
@@ -0,0 +1,35 @@
+#include "control/ControlStore.h"
+
+#include "control/Identifier.h"
+
+namespace almondpier {
+
+ControlStore::ControlStore(const std::string &Folder) : m_Folder(Folder) {
+  if (!m_Folder.isInitialised()) {
+    m_MemberId = MemberId{drawIdentifier()};
+    return;
+  }
+  m_Log = m_Folder.load();
+  m_MemberId = m_Folder.identity().m_Member;
+  m_ClusterId = m_Folder.identity().m_ClusterId;
+}
+
+void ControlStore::initialise(uint64_t ClusterId, const PersistedLog &Log) {
+  m_Folder.initialise(m_MemberId, ClusterId, Log);
+  m_Log = m_Folder.load();
+  m_ClusterId = ClusterId;
+}
+
+void ControlStore::bootstrap(const ControlMember &Self) {
+  initialise(drawIdentifier(), makeInitialLog(Self));
+}
+
+void ControlStore::persist(PersistLog Change) {
+  ConsensusOutput Output;
+  Output.m_HardState = Change.m_HardState;
+  Output.m_InstalledSnapshot = std::move(Change.m_InstalledSnapshot);
+  Output.m_Entries = std::move(Change.m_Entries);
+  m_Folder.persist(Output);
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/control/OperationsServer.cpp
@@ -0,0 +1,272 @@
+#include "control/OperationsServer.h"
+
+#include "almondpier/Telemetry.h"
+#include "control/ChangeJson.h"
+
+#include <charconv>
+
+namespace almondpier {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr size_t kMaxAuditPage = 1'000;
+constexpr size_t kDefaultAuditPage = 100;
+/// Presets with the limits of thousands of organisations.
+constexpr size_t kMaxBodyBytes = 512U << 10U;
+
+uint64_t wallTimeMs() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+Json parseBody(const HttpServerRequest &Request) {
+  try {
+    return Json::parse(Request.m_Body);
+  } catch (const Json::exception &Failure) {
+    throw Error(ErrorKind::BadRequest, Failure.what());
+  }
+}
+
+std::string textField(const Json &Body, const char *Field) {
+  auto Found = Body.is_object() ? Body.find(Field) : Body.end();
+  if (Found == Body.end() || !Found->is_string())
+    throw Error(ErrorKind::BadRequest,
+                std::string("the body needs the text field '") + Field + "'");
+  return Found->get<std::string>();
+}
+
+template <typename Number>
+Number parseNumber(std::string_view Text, Number Default) {
+  Number Value = Default;
+  if (Text.empty())
+    return Default;
+  std::from_chars_result Result =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Result.ec != std::errc() || Result.ptr != Text.data() + Text.size())
+    throw Error(ErrorKind::BadRequest,
+                "'" + std::string(Text) + "' is not a number");
+  return Value;
+}
+
+std::string_view bearerOf(const HttpServerRequest &Request) {
+  constexpr std::string_view kPrefix = "Bearer ";
+  std::string_view Header = Request.header("Authorization");
+  return Header.starts_with(kPrefix) ? Header.substr(kPrefix.size())
+                                     : std::string_view();
+}
+
+} // namespace
+
+OperationsServer::OperationsServer(EventLoop &Loop,
+                                   const ControlHostSettings &Settings,
+                                   const ControlCore &Core, Handler OnEvent)
+    : m_Settings(Settings), m_Core(Core), m_OnEvent(std::move(OnEvent)),
+      m_Server(Loop, Settings.m_Operations,
+               HttpServerLimits{.m_MaxBodyBytes = kMaxBodyBytes},
+               {[this](const HttpServerRequest &Request) { handle(Request); },
+                {}}) {}
+
+void OperationsServer::handle(const HttpServerRequest &Request) {
+  ++m_Requests;
+  try {
+    if (Request.m_Path == "/livez" || Request.m_Path == "/readyz" ||
+        Request.m_Path == "/metrics")
+      handleOpen(Request);
+    else if (Request.m_Path == "/v1/announcements")
+      handleAnnouncement(Request);
+    else
+      handleOperator(Request);
+  } catch (const Error &Refusal) {
+    refuse(Request.m_Id, Refusal);
+  }
+}
+
+void OperationsServer::handleOpen(const HttpServerRequest &Request) {
+  if (Request.m_Path == "/metrics") {
+    m_Server.reply(Request.m_Id,
+                   HttpResponse{kOk,
+                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                metrics()});
+    return;
+  }
+  bool IsGood = Request.m_Path == "/livez" || m_Core.isReady();
+  answer(Request.m_Id, IsGood ? kOk : kUnavailable,
+         IsGood ? "{}" : R"({"ready":false})");
+}
+
+void OperationsServer::handleAnnouncement(const HttpServerRequest &Request) {
+  if (!equalInConstantTime(bearerOf(Request), m_Settings.m_AnnouncementSecret))
+    throw Error(ErrorKind::UnknownKey, "the announcement secret is wrong");
+  if (Request.m_Method != HttpMethod::Post)
+    throw Error(ErrorKind::UnknownRoute, "announcements are sent with POST");
+  Json Body = parseBody(Request);
+  InstanceAnnounced Event;
+  Event.m_Instance = parseAnnouncement(Body);
+  auto Departing = Body.find("departing");
+  Event.m_Departing = Departing != Body.end() && Departing->is_boolean() &&
+                      Departing->get<bool>();
+  Event.m_Id = remember(Pending{Request.m_Id, Kind::Announcement});
+  m_OnEvent(Event);
+}
+
+std::string
+OperationsServer::operatorOf(const HttpServerRequest &Request) const {
+  std::string_view Key = bearerOf(Request);
+  auto Found = m_Settings.m_Operators.find(digestOfKey(Key));
+  if (Key.empty() || Found == m_Settings.m_Operators.end())
+    throw Error(ErrorKind::UnknownKey, "the operator key is unknown");
+  return Found->second;
+}
+
+void OperationsServer::handleOperator(const HttpServerRequest &Request) {
+  std::string Actor = operatorOf(Request);
+  bool IsPost = Request.m_Method == HttpMethod::Post;
+  bool IsGet = Request.m_Method == HttpMethod::Get;
+  if (IsPost && Request.m_Path == "/v1/changes")
+    return handleChange(Request, Actor);
+  if (IsPost && Request.m_Path == "/v1/members")
+    return handleMembers(Request, Actor);
+  if (IsGet && Request.m_Path == "/v1/configuration")
+    return handleRead(Request, Kind::Configuration);
+  if (IsGet && Request.m_Path == "/v1/audit")
+    return handleRead(Request, Kind::Audit);
+  if (IsGet && Request.m_Path == "/v1/status")
+    return answer(Request.m_Id, kOk, statusToJson(m_Core.blackboard()).dump());
+  throw Error(ErrorKind::UnknownRoute, "no such route");
+}
+
+void OperationsServer::handleChange(const HttpServerRequest &Request,
+                                    const std::string &Actor) {
+  Json Body = parseBody(Request);
+  OperatorChange Event;
+  Event.m_Change.m_ChangeId = textField(Body, "change_id");
+  auto Version = Body.find("expected_version");
+  if (Version == Body.end() || !Version->is_number_unsigned())
+    throw Error(ErrorKind::BadRequest,
+                "the body needs the number 'expected_version'");
+  Event.m_Change.m_ExpectedVersion = Version->get<uint64_t>();
+  Event.m_Change.m_Actor = Actor;
+  Event.m_Change.m_WallTimeMs = wallTimeMs();
+  Event.m_Change.m_Body = parseChangeBody(Body.value("change", Json::object()));
+  Event.m_Id = remember(Pending{Request.m_Id, Kind::Change});
+  m_OnEvent(Event);
+}
+
+void OperationsServer::handleMembers(const HttpServerRequest &Request,
+                                     const std::string &Actor) {
+  Json Body = parseBody(Request);
+  OperatorRemoveMember Event;
+  Event.m_Member.m_Value =
+      parseNumber<uint64_t>(textField(Body, "remove"), uint64_t{0});
+  Event.m_ChangeId = textField(Body, "change_id");
+  if (!isValidName(Event.m_ChangeId))
+    throw Error(ErrorKind::BadRequest, "a change identifier has 1 to 64 "
+                                       "letters, digits, '.', '_' or '-'");
+  Event.m_Actor = Actor;
+  Event.m_Id = remember(Pending{Request.m_Id, Kind::Change});
+  m_OnEvent(Event);
+}
+
+void OperationsServer::handleRead(const HttpServerRequest &Request, Kind Kind) {
+  Pending Entry{Request.m_Id, Kind};
+  Entry.m_AuditAfter =
+      parseNumber<uint64_t>(Request.queryValue("after"), uint64_t{0});
+  Entry.m_AuditLimit =
+      std::min(kMaxAuditPage, parseNumber<size_t>(Request.queryValue("limit"),
+                                                  kDefaultAuditPage));
+  m_OnEvent(OperatorRead{remember(Entry)});
+}
+
+OperationId OperationsServer::remember(const Pending &Pending) {
+  OperationId Id{++m_LastOperation};
+  m_Pending.emplace(Id.m_Value, Pending);
+  return Id;
+}
+
+void OperationsServer::reply(const ReplyToOperation &Reply) {
+  auto Found = m_Pending.find(Reply.m_Id.m_Value);
+  if (Found == m_Pending.end())
+    return;
+  Pending Entry = Found->second;
+  m_Pending.erase(Found);
+  m_Server.reply(Entry.m_Request, responseTo(Entry, Reply));
+}
+
+HttpResponse OperationsServer::responseTo(const Pending &Pending,
+                                          const ReplyToOperation &Reply) const {
+  HttpResponse Response;
+  Response.m_Headers = {{"Content-Type", "application/json"}};
+  const std::optional<ErrorReport> &Refusal =
+      Reply.m_Outcome ? Reply.m_Outcome->m_Error : Reply.m_Error;
+  Json Body = Json::object();
+  if (Reply.m_Outcome)
+    Body = Json{{"accepted", Reply.m_Outcome->m_Accepted},
+                {"version", Reply.m_Outcome->m_Version}};
+  if (Refusal) {
+    Response.m_Status = httpStatusOf(Refusal->m_Kind);
+    Body["error"] = toJson(*Refusal);
+    if (Reply.m_Leader)
+      Body["leader"] = formatEndpoint(*Reply.m_Leader);
+    Response.m_Body = Body.dump();
+    return Response;
+  }
+  if (Pending.m_Kind == Kind::Configuration)
+    Body = toJson(m_Core.blackboard().configuration());
+  Response.m_Body =
+      Pending.m_Kind == Kind::Audit ? auditPage(Pending) : Body.dump();
+  return Response;
+}
+
+std::string OperationsServer::auditPage(const Pending &Pending) const {
+  const AuditTrail &Trail = m_Core.blackboard().m_State.audit();
+  Json Records = Json::array();
+  uint64_t Next = Pending.m_AuditAfter;
+  for (const AuditRecord &Record :
+       Trail.after(Pending.m_AuditAfter, Pending.m_AuditLimit)) {
+    Records.push_back(toJson(Record));
+    Next = Record.m_Number;
+  }
+  return Json{{"records", Records},
+              {"first_number", Trail.firstNumber()},
+              {"last_number", Trail.lastNumber()},
+              {"next_after", Next}}
+      .dump();
+}
+
+std::string OperationsServer::metrics() const {
+  CounterList Counters = m_Core.counters();
+  Counters.push_back({"almondpier_operations_requests_total",
+                      "Requests to this endpoint.",
+                      static_cast<double>(m_Requests)});
+  Counters.push_back({"almondpier_operations_refused_total",
+                      "Requests to this endpoint refused before a decision.",
+                      static_cast<double>(m_Refused)});
+  LatencyHistogram Failovers;
+  for (const FailoverRecord &Record : m_Core.blackboard().m_Failovers)
+    Failovers.record(Record.m_Total);
+  return formatCounters(Counters) + formatCounters(processCounters()) +
+         formatHistogram("almondpier_failover_seconds",
+                         "Duration of the last changes of primary.", Failovers);
+}
+
+void OperationsServer::answer(HttpRequestId Request, int Status,
+                              std::string Body) {
+  m_Server.reply(Request, HttpResponse{Status,
+                                       {{"Content-Type", "application/json"}},
+                                       std::move(Body)});
+}
+
+void OperationsServer::refuse(HttpRequestId Request, const Error &Error) {
+  ++m_Refused;
+  ErrorReport Report{Error.kind(), Error.what(), Ran::No, 0};
+  answer(Request, httpStatusOf(Error.kind()),
+         Json{{"error", toJson(Report)}}.dump());
+}
+
+} // namespace almondpier
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -23,6 +23,8 @@
   std::string m_Reason;
   /// Wall-clock time of the end in milliseconds since 1970.
   uint64_t m_WallTimeMs = 0;
+  /// From the last good answer of the primary to the start, as observed.
+  Duration m_Detect{};
   Duration m_Begin{};
   Duration m_Seal{};
   Duration m_Promote{};
--- a/src/decision/control/FailoverController.cpp
+++ b/src/decision/control/FailoverController.cpp
@@ -176,6 +176,19 @@
   return Now - Since >= kRoleLostLimit;
 }
 
+Duration FailoverController::detectionTime(const DatabaseName &Name) const {
+  const DatabaseRecord *Record = m_Board.configuration().findDatabase(Name);
+  auto Reports = m_Reports.find(Name);
+  Duration Longest{};
+  if (Reports == m_Reports.end())
+    return Longest;
+  for (const HostReport &Report : Reports->second)
+    if (Report.m_Report->m_Instance == Record->m_Primary)
+      Longest = std::max<Duration>(
+          Longest, std::chrono::milliseconds(Report.m_Report->m_UnreachableMs));
+  return Longest;
+}
+
 void FailoverController::start(const DatabaseName &Name,
                                const std::string &Reason,
                                ControlContext &Context) {
@@ -183,7 +196,8 @@
                             ": change of primary begins: " + Reason);
   ++m_Started;
   m_RoleLostSince.erase(Name);
-  m_Groups[Name] = std::make_unique<GroupFailover>(Name, Reason, Context.m_Now);
+  m_Groups[Name] = std::make_unique<GroupFailover>(
+      Name, Reason, detectionTime(Name), Context.m_Now);
   m_Groups[Name]->tick(*m_Board.configuration().findDatabase(Name), m_Calls,
                        Context);
 }
--- a/src/decision/control/FailoverController.h
+++ b/src/decision/control/FailoverController.h
@@ -38,6 +38,7 @@
                                            Time Now);
   bool isPrimaryLost(const DatabaseName &Name, const DatabaseRecord &Record,
                      Time Now);
+  Duration detectionTime(const DatabaseName &Name) const;
   void start(const DatabaseName &Name, const std::string &Reason,
              ControlContext &Context);
   void finish(const GroupFailover &Group, ControlContext &Context);
--- a/src/decision/control/GroupFailover.h
+++ b/src/decision/control/GroupFailover.h
@@ -35,9 +35,12 @@
 public:
   enum class Step : uint8_t { Begin, Seal, Promote, Publish, Done };
 
-  GroupFailover(DatabaseName Database, std::string Reason, Time Now)
+  GroupFailover(DatabaseName Database, std::string Reason, Duration Detect,
+                Time Now)
       : m_Database(std::move(Database)), m_Reason(std::move(Reason)),
-        m_StartedAt(Now), m_StepStartedAt(Now) {}
+        m_StartedAt(Now), m_StepStartedAt(Now) {
+    m_Record.m_Detect = Detect;
+  }
 
   void tick(const DatabaseRecord &Record, InstanceCalls &Calls,
             ControlContext &Context);
