--- a/include/almondpier/Load.h
+++ b/include/almondpier/Load.h
@@ -83,7 +83,7 @@
   std::vector<std::pair<DatabaseName, std::string>> keys() const;
   size_t count(LoadWriteState State) const;
   uint64_t violationCount() const { return m_ViolationCount; }
-  /// The first violations; more are only counted.
+  /// The first violations of each kind; more are only counted.
   const std::vector<std::string> &violations() const { return m_Violations; }
 
 private:
@@ -103,6 +103,7 @@
   std::map<KeyName, KeyState> m_Keys;
   uint64_t m_LastNumber = 0;
   uint64_t m_ViolationCount = 0;
+  std::map<std::string, uint64_t> m_CountByKind;
   std::vector<std::string> m_Violations;
 };
 
--- a/programs/Load.cpp
+++ b/programs/Load.cpp
@@ -149,8 +149,7 @@
   Result.m_RoamFraction = Fraction("roam_percent");
   Result.m_Duration = std::chrono::seconds(Values.integer("duration_s"));
   Result.m_Seed = static_cast<uint64_t>(Values.integer("seed"));
-  Result.m_Run =
-      Values.text("run").empty() ? randomRun() : Values.text("run");
+  Result.m_Run = Values.text("run").empty() ? randomRun() : Values.text("run");
   return Result;
 }
 
--- a/src/load/Checker.cpp
+++ b/src/load/Checker.cpp
@@ -4,11 +4,12 @@
 
 namespace almondpier {
 
-constexpr size_t kMaxListedViolations = 50;
+constexpr uint64_t kMaxListedPerKind = 10;
 
 void LoadChecker::addViolation(const std::string &Text) {
   ++m_ViolationCount;
-  if (m_Violations.size() < kMaxListedViolations)
+  // The text before the colon is the kind of the violation.
+  if (++m_CountByKind[Text.substr(0, Text.find(':'))] <= kMaxListedPerKind)
     m_Violations.push_back(Text);
 }
 
--- a/src/load/ProxyClient.cpp
+++ b/src/load/ProxyClient.cpp
@@ -59,9 +59,8 @@
 
 void ProxyClient::giveBack(size_t Proxy, const Connection &Used) {
   Used->setOnClose([this, Proxy, Raw = Used.get()] {
-    std::erase_if(m_Proxies.at(Proxy).m_Idle, [&](const Connection &Idle) {
-      return Idle.get() == Raw;
-    });
+    std::erase_if(m_Proxies.at(Proxy).m_Idle,
+                  [&](const Connection &Idle) { return Idle.get() == Raw; });
   });
   m_Proxies.at(Proxy).m_Idle.push_back(Used);
 }
@@ -75,23 +74,24 @@
                        Callback Callback) {
   Connection Used = take(Proxy);
   // The callback holds the connection until the answer arrived.
-  Used->send(Request, [this, Proxy, Used, Callback = std::move(Callback)](
-                          const std::variant<HttpResponse,
-                                             HttpClientConnection::Failure>
-                              &Result) {
-    if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result)) {
-      if (Response->header("Connection") != "close")
-        giveBack(Proxy, Used);
-      Callback(answerOf(*Response));
-      return;
-    }
-    fail(Proxy);
-    ProxyAnswer Answer;
-    Answer.m_ErrorKind = "ConnectionFailed";
-    Answer.m_WasNothingSent =
-        std::get<HttpClientConnection::Failure>(Result).m_NothingSent;
-    Callback(Answer);
-  });
+  Used->send(
+      Request,
+      [this, Proxy, Used, Callback = std::move(Callback)](
+          const std::variant<HttpResponse, HttpClientConnection::Failure>
+              &Result) {
+        if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result)) {
+          if (Response->header("Connection") != "close")
+            giveBack(Proxy, Used);
+          Callback(answerOf(*Response));
+          return;
+        }
+        fail(Proxy);
+        ProxyAnswer Answer;
+        Answer.m_ErrorKind = "ConnectionFailed";
+        Answer.m_WasNothingSent =
+            std::get<HttpClientConnection::Failure>(Result).m_NothingSent;
+        Callback(Answer);
+      });
 }
 
 } // namespace almondpier
--- a/src/load/ProxyClient.h
+++ b/src/load/ProxyClient.h
@@ -19,9 +19,7 @@
   std::string m_Ran;
   uint32_t m_RetryAfterMs = 0;
 
-  bool isServed() const {
-    return m_HasArrived && m_Response.m_Status == 200;
-  }
+  bool isServed() const { return m_HasArrived && m_Response.m_Status == 200; }
 };
 
 class ProxyClient {
--- a/src/load/Run.cpp
+++ b/src/load/Run.cpp
@@ -135,8 +135,8 @@
     if (IsBusy &&
         Now < m_StartedAt + m_Run.m_Settings.m_Duration + kSettleLimit)
       return;
-    m_Verifier = std::make_unique<LoadVerifier>(
-        m_Run, [this] { m_Run.m_Loop.stop(); });
+    m_Verifier =
+        std::make_unique<LoadVerifier>(m_Run, [this] { m_Run.m_Loop.stop(); });
   }
 
   LoadOutcome report() const {
@@ -162,8 +162,8 @@
                         std::to_string(m_Skipped) + "\n";
     for (const std::string &Violation : Checker.violations())
       Outcome.m_Text += "VIOLATION: " + Violation + "\n";
-    Outcome.m_Text += "violations: " + std::to_string(Checker.violationCount()) +
-                      "\n";
+    Outcome.m_Text +=
+        "violations: " + std::to_string(Checker.violationCount()) + "\n";
     return Outcome;
   }
 
--- a/src/load/Session.cpp
+++ b/src/load/Session.cpp
@@ -201,8 +201,7 @@
                                  Answer.m_Response.m_Body.substr(0, 100));
     return;
   }
-  std::optional<std::vector<uint64_t>> Values =
-      valuesOf(Body["value"].dump());
+  std::optional<std::vector<uint64_t>> Values = valuesOf(Body["value"].dump());
   if (!Values) {
     m_Run.m_Checker.addViolation("unexpected content at key '" + Read.m_Key +
                                  "'");
--- a/src/load/Session.h
+++ b/src/load/Session.h
@@ -88,7 +88,7 @@
   void startWrite(LoadRequestKind Kind, const DatabaseName &Database,
                   const std::string &Key, LoadWriteKind WriteKind,
                   std::function<void(LoadWriteState)> OnSettled);
-  void sendPending(std::shared_ptr<Pending> Write);
+  void sendPending(const std::shared_ptr<Pending> &Write);
   void takeAnswer(const std::shared_ptr<Pending> &Write,
                   const ProxyAnswer &Answer);
   void resolve(const std::shared_ptr<Pending> &Write);
--- a/src/load/SessionWrites.cpp
+++ b/src/load/SessionWrites.cpp
@@ -92,15 +92,14 @@
   Call.m_Headers = {{"Idempotency-Key", Write->m_IdempotencyKey}};
   Call.m_Body = statementOf(WriteKind, Key, Number);
   Call.m_Acknowledges = true;
-  sendPending(std::move(Write));
+  sendPending(Write);
 }
 
-void LoadSession::sendPending(std::shared_ptr<Pending> Write) {
+void LoadSession::sendPending(const std::shared_ptr<Pending> &Write) {
   if (Write->m_IsFirst)
     Write->m_GiveUpAt = m_Run.m_Loop.now() + kResolveLimit;
-  send(Write->m_Call, [this, Write](const ProxyAnswer &Answer) {
-    takeAnswer(Write, Answer);
-  });
+  send(Write->m_Call,
+       [this, Write](const ProxyAnswer &Answer) { takeAnswer(Write, Answer); });
 }
 
 void LoadSession::takeAnswer(const std::shared_ptr<Pending> &Write,
@@ -200,8 +199,8 @@
   }
   std::string Key = m_Run.m_Settings.m_Run + "/t" + std::to_string(m_Number) +
                     "/" + std::to_string(Step);
-  uint64_t Number = beginWrite(Open->m_Database, Key, LoadWriteKind::Append,
-                               Open->m_Number);
+  uint64_t Number =
+      beginWrite(Open->m_Database, Key, LoadWriteKind::Append, Open->m_Number);
   Open->m_Writes.push_back(Number);
   Call Statement;
   Statement.m_Kind = LoadRequestKind::Transaction;
@@ -228,14 +227,13 @@
   Call.m_Path = Open->m_Path + "commit";
   Call.m_Headers = {{"Idempotency-Key", Write->m_IdempotencyKey}};
   Call.m_Acknowledges = true;
-  sendPending(std::move(Write));
+  sendPending(Write);
 }
 
 void LoadSession::rollBack(const std::shared_ptr<OpenTransaction> &Open) {
   // No commit was sent, so nothing of the transaction may ever be seen.
   for (uint64_t Number : Open->m_Writes)
-    m_Run.m_Checker.finish(Number, LoadWriteState::NotRun,
-                           m_Run.m_Loop.now());
+    m_Run.m_Checker.finish(Number, LoadWriteState::NotRun, m_Run.m_Loop.now());
   Call Call;
   Call.m_Kind = LoadRequestKind::Transaction;
   Call.m_Database = Open->m_Database;
--- a/src/load/Verifier.cpp
+++ b/src/load/Verifier.cpp
@@ -45,22 +45,21 @@
   Request.m_Target = "/v1/databases/" + Group.m_Database.m_Value + "/read";
   Request.m_Headers = {{"Authorization", "Bearer " + Key.m_Key}};
   Request.m_Body = Json{{"op", "list"}, {"prefix", Group.m_Prefix}}.dump();
-  m_Run.m_Client.send(
-      m_Run.m_Client.pick(m_Random), Request,
-      [this, Lane, Group](const ProxyAnswer &Answer) {
-        if (Answer.isServed()) {
-          check(Group, Answer);
-          next(Lane);
-          return;
-        }
-        if (m_Run.m_Loop.now() >= m_GiveUpAt) {
-          next(Lane);
-          return;
-        }
-        m_Delays[Lane] =
-            std::make_unique<Delay>(m_Run.m_Loop, kRetryInterval,
-                                    [this, Lane, Group] { read(Lane, Group); });
-      });
+  m_Run.m_Client.send(m_Run.m_Client.pick(m_Random), Request,
+                      [this, Lane, Group](const ProxyAnswer &Answer) {
+                        if (Answer.isServed()) {
+                          check(Group, Answer);
+                          next(Lane);
+                          return;
+                        }
+                        if (m_Run.m_Loop.now() >= m_GiveUpAt) {
+                          next(Lane);
+                          return;
+                        }
+                        m_Delays[Lane] = std::make_unique<Delay>(
+                            m_Run.m_Loop, kRetryInterval,
+                            [this, Lane, Group] { read(Lane, Group); });
+                      });
 }
 
 void LoadVerifier::check(const Group &Group, const ProxyAnswer &Answer) {
@@ -76,8 +75,7 @@
     if (!Rows.contains(Key))
       m_Run.m_Checker.checkFinal(Group.m_Database, Key, {});
   for (auto Row = Rows.begin(); Row != Rows.end(); ++Row) {
-    std::optional<std::vector<uint64_t>> Values =
-        valuesOf(Row.value().dump());
+    std::optional<std::vector<uint64_t>> Values = valuesOf(Row.value().dump());
     if (Values)
       m_Run.m_Checker.checkFinal(Group.m_Database, Row.key(), *Values);
     else
