--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -114,13 +114,15 @@
   std::vector<Refused> Result;
   if (m_WaitingCount == 0)
     return Result;
-  for (auto &[Organisation, Account] : m_Accounts)
-    std::erase_if(Account.m_Waiters, [&](const Waiter &Entry) {
+  for (auto &Item : m_Accounts) {
+    const Account &Account = Item.second;
+    std::erase_if(Item.second.m_Waiters, [&](const Waiter &Entry) {
       std::optional<ErrorReport> Error = refusalOf(Account, Entry, Now);
       if (Error)
         Result.push_back(Refused{Entry.m_Id, *Error});
       return Error.has_value();
     });
+  }
   m_WaitingCount -= Result.size();
   return Result;
 }
--- a/tests/proxy/ProxyCoreTest.cpp
+++ b/tests/proxy/ProxyCoreTest.cpp
@@ -240,8 +240,9 @@
   REQUIRE(Fleet.start());
   size_t Entry = Fleet.other();
   Fleet.m_Copies = 3;
-  std::vector<CallerRequestId> Writes;
   constexpr int kWrites = 20;
+  std::vector<CallerRequestId> Writes;
+  Writes.reserve(kWrites);
   for (int Number = 0; Number < kWrites; ++Number)
     Writes.push_back(Fleet.submit(
         Entry, Fleet.request(RequestKind::Write, std::to_string(Number))));
--- a/tests/proxy/ProxyServerTest.cpp
+++ b/tests/proxy/ProxyServerTest.cpp
@@ -20,7 +20,8 @@
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                 sizeof(Address)) == 0);
   socklen_t Length = sizeof(Address);
   ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
   ::close(Socket);
@@ -146,7 +147,7 @@
   }
   HttpResponse post(const Endpoint &Peer, const std::string &Target,
                     const std::string &Body, std::vector<HttpHeader> Headers) {
-    return exchange(Peer, {HttpMethod::Post, Target, Headers, Body});
+    return exchange(Peer, {HttpMethod::Post, Target, std::move(Headers), Body});
   }
   HttpResponse call(size_t Proxy, const std::string &Route,
                     const std::string &Body,
