Answer the leader while a joining control host knows no members

Cause: a learner with an empty log does not know the endpoints of the members, so its replies to the leader were dropped and it never became a voter (seen with three processes: two learners for 60 s). Ruled out: the promotion rule and the consensus library, whose tests pass with direct delivery. Change: while joining, replies use the link on which the leader's messages came. After: both learners are voters within 5 s of the start.

--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -38,6 +38,8 @@
   uint64_t m_AppliedSinceStart = 0;
   uint64_t m_Snapshots = 0;
   std::optional<Time> m_JoinedAt;
+  /// Where each member's messages came from while this host is joining.
+  std::map<MemberId, LinkId> m_LinkOfMember;
   std::optional<Time> m_ShutdownUntil;
   bool m_IsShutdownComplete = false;
 
@@ -248,8 +250,10 @@
                  ControlContext &Context) {
     echoPing(Link, Context.m_Actions);
   }
-  void onMessage(LinkId /*Link*/, const ConsensusMessage &Message,
+  void onMessage(LinkId Link, const ConsensusMessage &Message,
                  ControlContext &Context) {
+    if (isJoining())
+      m_LinkOfMember[Message.m_From] = Link;
     m_Log->receive(Message, Context.m_Now);
   }
   void onMessage(LinkId Link, const ReadIndexRequest &Message,
@@ -346,7 +350,14 @@
   void sendToMember(ConsensusMessage Message, ControlContext &Context) {
     const ControlMember *Member = m_Board.findMember(Message.m_To);
     if (Member != nullptr)
-      m_Links.send(Member->m_Peer, std::move(Message), Context.m_Actions);
+      return m_Links.send(Member->m_Peer, std::move(Message),
+                          Context.m_Actions);
+    // A learner that has no entry yet does not know where members are; it
+    // answers on the link that the leader opened.
+    auto Link = m_LinkOfMember.find(Message.m_To);
+    if (Link != m_LinkOfMember.end())
+      Context.m_Actions.push_back(
+          SendMessage{Link->second, std::move(Message)});
   }
 
   void install(const Snapshot &Snapshot, ControlContext &Context) {
