Refuse bursts below 50 ms of rate; admit spares by a change of their own

RemoveInstance moved a spare into the group at once. A spare that holds no log yet could then make up a majority that lacks acknowledged writes when a second instance was lost right after the repair. Spares are now admitted by AdmitInstance, which the control leader proposes once the spare holds the log.

--- a/include/almondpier/Model.h
+++ b/include/almondpier/Model.h
@@ -352,7 +352,8 @@
     Ar(m_Database, m_Instance, m_Draining);
   }
 };
-/// Removes an instance that will not return; a spare takes its place.
+/// Removes an instance that will not return. A spare takes its place once it
+/// holds the log of the primary, by AdmitInstance.
 struct RemoveInstance {
   DatabaseName m_Database;
   InstanceName m_Instance;
@@ -412,11 +413,25 @@
   }
 };
 
+/// Makes a spare a member of a group with a free place. Accepted only while
+/// m_Term is the last begun term and has a primary, so that no change of primary
+/// is in progress.
+struct AdmitInstance {
+  DatabaseName m_Database;
+  InstanceName m_Instance;
+  uint64_t m_Term = 0;
+  friend auto operator<=>(const AdmitInstance &,
+                          const AdmitInstance &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Database, m_Instance, m_Term);
+  }
+};
+
 using ChangeBody =
     std::variant<CreateOrganisation, RemoveOrganisation, IssueKey, RevokeKey,
                  DefinePreset, ActivatePreset, DrainInstance, RemoveInstance,
                  RemoveHost, RecordMembership, RegisterHost, RegisterInstance,
-                 BeginTerm, ElectPrimary>;
+                 BeginTerm, ElectPrimary, AdmitInstance>;
 
 /// Returns whether an operator (not the system) makes such a change.
 bool isOperatorChange(const ChangeBody &Body);
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -104,11 +104,6 @@
                       "' is the primary; drain it first");
     Database.m_Instances.erase(Body.m_Instance);
     Database.m_Draining.erase(Body.m_Instance);
-    if (Database.m_Spares.empty())
-      return;
-    auto Spare = Database.m_Spares.begin();
-    Database.m_Instances.insert(*Spare);
-    Database.m_Spares.erase(Spare);
   }
 
   void operator()(const RemoveHost &Body) {
@@ -163,6 +158,23 @@
     Database.m_History.add(Body.m_Start);
   }
 
+  void operator()(const AdmitInstance &Body) {
+    DatabaseRecord &Database = databaseOf(Body.m_Database);
+    auto Spare = Database.m_Spares.find(Body.m_Instance);
+    if (Spare == Database.m_Spares.end())
+      throw Error(ErrorKind::NotFound,
+                  "no spare '" + Body.m_Instance.m_Value + "' in the group");
+    if (Database.m_Instances.size() >= Database.m_GroupSize)
+      throw Error(ErrorKind::BadRequest,
+                  "the group is complete; remove a lost instance first");
+    if (Body.m_Term != Database.m_BegunTerm ||
+        Body.m_Term != Database.m_PrimaryTerm)
+      throw Error(ErrorKind::VersionConflict,
+                  "term " + std::to_string(Body.m_Term) + " is over");
+    Database.m_Instances.insert(*Spare);
+    Database.m_Spares.erase(Spare);
+  }
+
 private:
   static void checkName(const std::string &Name) {
     if (!isValidName(Name))
@@ -178,6 +190,16 @@
       throw Error(
           ErrorKind::BadRequest,
           "a rate is above 0 and a burst at least 1, both at most 10,000,000");
+    // Rate tokens of a smaller burst would be valid for less than 50 ms and
+    // could expire on the way to a proxy.
+    constexpr double kMinValiditySeconds = 0.05;
+    double MinBurst = 1 + Limit.m_RatePerSecond * kMinValiditySeconds;
+    if (Limit.m_Burst < MinBurst)
+      throw Error(ErrorKind::BadRequest,
+                  "a burst is at least 1 + rate x 0.05 s; for a rate of " +
+                      std::to_string(Limit.m_RatePerSecond) +
+                      " requests a second choose a burst of at least " +
+                      std::to_string(MinBurst));
   }
 
   DatabaseRecord &databaseOf(const DatabaseName &Database) {
@@ -223,6 +245,7 @@
          !std::holds_alternative<RegisterInstance>(Body) &&
          !std::holds_alternative<BeginTerm>(Body) &&
          !std::holds_alternative<ElectPrimary>(Body) &&
+         !std::holds_alternative<AdmitInstance>(Body) &&
          !std::holds_alternative<RecordMembership>(Body);
 }
 
@@ -280,6 +303,10 @@
            " primary of database " + Body.m_Database.m_Value + " in term " +
            std::to_string(Body.m_Start.m_Term);
   }
+  std::string operator()(const AdmitInstance &Body) const {
+    return "admit instance " + Body.m_Instance.m_Value + " to database " +
+           Body.m_Database.m_Value;
+  }
 };
 
 } // namespace
