--- a/include/almondpier/StandIn.h
+++ b/include/almondpier/StandIn.h
@@ -121,7 +121,9 @@
   StandInAnswer rollback(uint64_t Connection);
   /// Rolls back the transaction of a closed connection.
   void forgetConnection(uint64_t Connection);
-  StandInAnswer outcome(const std::string &RequestId) const;
+  /// With Term, refuses unless this is the primary of that term.
+  StandInAnswer outcome(std::optional<uint64_t> Term,
+                        const std::string &RequestId) const;
 
   // Platform endpoint.
 
--- a/src/load/ProxyClient.cpp
+++ b/src/load/ProxyClient.cpp
@@ -17,7 +17,7 @@
   if (Response.m_Status == 200)
     return Answer;
   nlohmann::json Body = nlohmann::json::parse(Response.m_Body, nullptr, false);
-  Answer.m_ErrorKind = "Status" + std::to_string(Response.m_Status);
+  Answer.m_ErrorKind = "status_" + std::to_string(Response.m_Status);
   if (!Body.is_object() || !Body.contains("error") ||
       !Body["error"].is_object())
     return Answer;
@@ -87,7 +87,7 @@
         }
         fail(Proxy);
         ProxyAnswer Answer;
-        Answer.m_ErrorKind = "ConnectionFailed";
+        Answer.m_ErrorKind = "connection_failed";
         Answer.m_WasNothingSent =
             std::get<HttpClientConnection::Failure>(Result).m_NothingSent;
         Callback(Answer);
--- a/src/load/Session.cpp
+++ b/src/load/Session.cpp
@@ -78,7 +78,7 @@
 }
 
 void LoadSession::finish(const ProxyAnswer &Answer) {
-  if (Answer.m_ErrorKind.empty() || Answer.m_ErrorKind == "StatementFailed") {
+  if (Answer.m_ErrorKind.empty() || Answer.m_ErrorKind == "statement_failed") {
     finish(Duration::zero());
     return;
   }
@@ -93,8 +93,8 @@
     return Answer.m_WasNothingSent ? LoadResult::Unreachable
                                    : LoadResult::Unknown;
   if (Answer.m_Response.m_Status == 200 ||
-      Answer.m_ErrorKind == "StatementFailed" ||
-      Answer.m_ErrorKind == "NotFound")
+      Answer.m_ErrorKind == "statement_failed" ||
+      Answer.m_ErrorKind == "not_found")
     return LoadResult::Served;
   return Answer.m_Ran == "no" ? LoadResult::Refused : LoadResult::Unknown;
 }
--- a/src/load/SessionWrites.cpp
+++ b/src/load/SessionWrites.cpp
@@ -111,16 +111,16 @@
     finish(Answer);
     return;
   }
-  if (Answer.m_ErrorKind == "IdempotencyMismatch")
+  if (Answer.m_ErrorKind == "idempotency_mismatch")
     m_Run.m_Checker.addViolation("the idempotency key " +
                                  Write->m_IdempotencyKey +
                                  " was refused for its own statement");
   // A refusal of a repetition says nothing about the request before it.
   bool IsRefused =
-      WasFirst && (Answer.m_ErrorKind == "StatementFailed" ||
+      WasFirst && (Answer.m_ErrorKind == "statement_failed" ||
                    Answer.m_Ran == "no" || Answer.m_WasNothingSent);
   if (IsRefused) {
-    settle(*Write, Answer.m_ErrorKind == "StatementFailed"
+    settle(*Write, Answer.m_ErrorKind == "statement_failed"
                        ? LoadWriteState::Failed
                        : LoadWriteState::NotRun);
     finish(Answer);
@@ -150,7 +150,7 @@
       finish(Answer);
       return;
     }
-    if (Answer.m_ErrorKind == "NotFound" && Write->m_MayResend) {
+    if (Answer.m_ErrorKind == "not_found" && Write->m_MayResend) {
       sendPending(Write);
       return;
     }
--- a/src/standin/Instance.cpp
+++ b/src/standin/Instance.cpp
@@ -103,12 +103,6 @@
   return refuse(422, "an open transaction has written '" + Key + "'");
 }
 
-static StandInAnswer failedAnswer(const std::string &Message) {
-  StandInAnswer Answer = refuse(422, Message);
-  Answer.m_Ran = Ran::Yes;
-  return Answer;
-}
-
 StandInAnswer StandInInstance::read(std::optional<uint64_t> Term,
                                     std::string_view Statement) const {
   if (Term)
@@ -137,7 +131,7 @@
     return lockedAnswer(Parsed->m_Key);
   StandInEvaluation Result = evaluate(*Parsed, m_Rows, {});
   if (Result.m_Error)
-    return failedAnswer(*Result.m_Error);
+    return refuse(422, *Result.m_Error);
   StandInEntry Entry;
   Entry.m_RequestId = RequestId;
   Entry.m_StatementDigest = Digest;
@@ -165,7 +159,7 @@
 }
 
 static StandInAnswer noTransaction() {
-  return refuse(404, "the connection has no transaction; begin one");
+  return refuse(409, "the connection has no transaction; begin one");
 }
 
 StandInAnswer StandInInstance::execute(uint64_t Connection,
@@ -181,7 +175,7 @@
     return lockedAnswer(Parsed->m_Key);
   StandInEvaluation Result = evaluate(*Parsed, m_Rows, Own.m_Written);
   if (Result.m_Error)
-    return failedAnswer(*Result.m_Error);
+    return refuse(422, *Result.m_Error);
   if (Result.m_Effect) {
     const std::string &Key = Result.m_Effect->m_Key;
     auto Committed = m_Rows.find(Key);
@@ -223,7 +217,11 @@
   m_Transactions.erase(Connection);
 }
 
-StandInAnswer StandInInstance::outcome(const std::string &RequestId) const {
+StandInAnswer StandInInstance::outcome(std::optional<uint64_t> Term,
+                                       const std::string &RequestId) const {
+  if (Term)
+    if (std::optional<StandInAnswer> Refusal = refusalOf(*Term))
+      return *Refusal;
   auto Known = m_Outcomes.find(RequestId);
   if (Known == m_Outcomes.end())
     return refuse(404, "no outcome is recorded for this request identifier");
--- a/tests/load/LoadRunTest.cpp
+++ b/tests/load/LoadRunTest.cpp
@@ -48,7 +48,8 @@
     if (Answer.m_Status != 200)
       Response.m_Body =
           std::string(R"({"error":{"ran":"no","kind":")") +
-          (Answer.m_Status == 422 ? "StatementFailed" : "NotFound") + R"("}})";
+          (Answer.m_Status == 422 ? "statement_failed" : "not_found") +
+          R"("}})";
     m_Server.reply(Request.m_Id, Response);
   }
 
--- a/tests/standin/InstanceTest.cpp
+++ b/tests/standin/InstanceTest.cpp
@@ -135,8 +135,8 @@
   CHECK((First.m_Instance.position() == Second.m_Instance.position()));
   CHECK((First.m_Instance.rows() == Second.m_Instance.rows()));
   CHECK(get(First, "kept") == R"({"key":"kept","value":1})");
-  CHECK(First.m_Instance.outcome("o/lost").m_Status == 404);
-  CHECK(First.m_Instance.outcome("o/kept").m_Status == 200);
+  CHECK(First.m_Instance.outcome({}, "o/lost").m_Status == 404);
+  CHECK(First.m_Instance.outcome({}, "o/kept").m_Status == 200);
 }
 
 TEST_CASE("stand-in: entries of an old primary are ignored after a seal") {
@@ -209,13 +209,13 @@
   SUBCASE("closed connection") {
     First.m_Instance.forgetConnection(kOne);
     CHECK(get(First, "k") == R"({"key":"k","value":null})");
-    CHECK(First.m_Instance.commit(kOne, "o/t", "d").m_Status == 404);
+    CHECK(First.m_Instance.commit(kOne, "o/t", "d").m_Status == 409);
     CHECK(put(First, 1, "k", 3).m_Status == 200);
   }
   SUBCASE("a seal ends the transactions of the term") {
     REQUIRE(First.m_Instance.seal(2));
     REQUIRE(First.m_Instance.promote(2));
-    CHECK(First.m_Instance.commit(kOne, "o/t", "d").m_Status == 404);
+    CHECK(First.m_Instance.commit(kOne, "o/t", "d").m_Status == 409);
     CHECK(First.m_Instance.openTransactions() == 0);
   }
 }
@@ -231,7 +231,7 @@
     Restarted.m_Instance.restore(Record);
   CHECK((Restarted.m_Instance.status() == First.m_Instance.status()));
   CHECK((Restarted.m_Instance.rows() == First.m_Instance.rows()));
-  CHECK(Restarted.m_Instance.outcome("o/1").m_Status == 200);
+  CHECK(Restarted.m_Instance.outcome({}, "o/1").m_Status == 200);
   CHECK(!Restarted.m_Instance.seal(1));
 }
 
