--- a/src/standin/StatementEndpoint.cpp
+++ b/src/standin/StatementEndpoint.cpp
@@ -90,8 +90,8 @@
   std::string RequestId(Request.header("Request-Id"));
   std::string Digest(Request.header("Statement-Digest"));
   if (Request.m_Method == HttpMethod::Get)
-    return Request.m_Path == "/outcome" ? Work([&Instance, RequestId] {
-      return Instance.outcome(RequestId);
+    return Request.m_Path == "/outcome" ? Work([&Instance, Term, RequestId] {
+      return Instance.outcome(Term, RequestId);
     })
                                         : Work();
   if (Request.m_Path == "/read")
