Acknowledge a write only by a majority in the term it was answered in

Cause: the rule that a state of a later term covers (T, P) when the next term began at P or later assumes that terms grow from one another. Ruled out: faults of the fake group and of the probes; the reported positions were right. Change: a write waits for a majority in the term of the primary that answered it. After a failover it is looked up at the new primary by its request identifier, and is acknowledged in the new term; without an identifier it ends as unknown. Results carry the term of that majority, so that positions of acknowledged writes compare by term first (a log with an entry of a later term holds everything acknowledged before), and reads and ages use this. Conclusion: the owner no longer uses the starts of terms to prove coverage.

--- a/src/decision/proxy/owner/AgeTracker.cpp
+++ b/src/decision/proxy/owner/AgeTracker.cpp
@@ -39,12 +39,11 @@
 }
 
 std::optional<Time> AgeTracker::freshAsOf(Position Position,
-                                          const TermHistory &History,
                                           Time NotBefore) const {
   for (auto It = m_Confirmed.rbegin(); It != m_Confirmed.rend(); ++It) {
     if (It->m_SentAt < NotBefore)
       return std::nullopt;
-    if (History.covers(Position, It->m_Position))
+    if (Position >= It->m_Position)
       return It->m_SentAt;
   }
   return std::nullopt;
--- a/src/decision/proxy/owner/AgeTracker.h
+++ b/src/decision/proxy/owner/AgeTracker.h
@@ -9,8 +9,10 @@
 namespace almondpier {
 
 /// Samples of the primary's position. A sample sent at time s with position q
-/// proves that data that covers q lacks no write acknowledged before s, once a
+/// proves that data at q or later lacks no write acknowledged before s, once a
 /// majority of the group, asked at or after s, was not sealed for a later term.
+/// Positions compare by term first: a log that holds the entry that begins a
+/// later term holds every write acknowledged in an earlier one.
 class AgeTracker {
 public:
   /// Adds an answer of the primary to probe Probe, sent at SentAt.
@@ -22,8 +24,7 @@
 
   /// Data at Position lacks nothing acknowledged before the returned moment.
   /// Moments before NotBefore are of no use and not searched for.
-  std::optional<Time> freshAsOf(Position Position, const TermHistory &History,
-                                Time NotBefore) const;
+  std::optional<Time> freshAsOf(Position Position, Time NotBefore) const;
 
 private:
   struct Sample {
--- a/src/decision/proxy/owner/GroupAnswers.cpp
+++ b/src/decision/proxy/owner/GroupAnswers.cpp
@@ -306,7 +306,7 @@
     return;
   }
   // The entry of a repeated request can be of an older term. It is on the log
-  // of the primary of m_SentTerm, which is what later reports prove.
+  // of the primary of m_SentTerm, so a majority in that term proves it.
   m_View.onPositionOf(Served, Answer.m_Position, Request.m_SentTerm);
   Request.m_Entry = Position{Request.m_SentTerm, Answer.m_Position.m_Index};
   Request.m_Result.m_Error.reset();
@@ -320,34 +320,33 @@
   if (m_Writes.empty())
     return;
   std::vector<PendingRequest *> Safe;
-  std::vector<PendingRequest *> Lost;
-  m_Writes.resolve(m_View, Safe, Lost);
+  std::vector<PendingRequest *> Unresolved;
+  m_Writes.resolve(m_View, Safe, Unresolved);
   for (PendingRequest *Request : Safe) {
+    Position Entry = Request->m_Entry;
     size_t Holding = 0;
-    uint64_t Term = WriteTracker::majorityPosition(m_View).m_Term;
     for (const std::unique_ptr<Instance> &Member : m_View.instances())
-      Holding += Member->m_InTermPosition.m_Term == Term &&
-                         holdsEntry(Member->m_InTermPosition, Request->m_Entry,
-                                    m_View.record().m_History)
+      Holding += Member->m_InTermPosition.m_Term == Entry.m_Term &&
+                         Member->m_InTermPosition.m_Index >= Entry.m_Index
                      ? 1
                      : 0;
-    requireInvariant(Holding >= m_View.record().majority() &&
-                         Term >= Request->m_Entry.m_Term,
-                     "R2", "a write is acknowledged without a majority");
+    requireInvariant(Holding >= m_View.record().majority(), "R2",
+                     "a write is acknowledged without a majority");
     ++m_Context.m_Counters.m_WritesAcknowledged;
     m_Context.complete(*Request, std::move(Request->m_Result));
   }
-  for (PendingRequest *Request : Lost)
-    m_Context.fail(*Request, ErrorKind::OutcomeUnknown, Ran::Unknown,
-                   "the primary was replaced before a majority held the write");
+  for (PendingRequest *Request : Unresolved)
+    lookUpOutcome(*Request, Now);
   m_Writes.askForPositions(m_View, m_Context.m_NextProbe, m_Context.m_Actions,
                            Now);
 }
 
 void OwnerGroup::lookUpOutcome(PendingRequest &Request, Time Now) {
   if (Request.m_Request.m_RequestId.empty()) {
-    m_Context.fail(Request, ErrorKind::OutcomeUnknown, Ran::Unknown,
-                   "the connection to the instance was lost");
+    m_Context.fail(
+        Request, ErrorKind::OutcomeUnknown, Ran::Unknown,
+        "the connection or the primary was lost before a majority held "
+        "the write");
     return;
   }
   ++m_Context.m_Counters.m_OutcomesLookedUp;
--- a/src/decision/proxy/owner/GroupDispatch.cpp
+++ b/src/decision/proxy/owner/GroupDispatch.cpp
@@ -183,10 +183,9 @@
 }
 
 void OwnerGroup::wakeWaitingReads(const Instance &Changed, Time Now) {
-  const TermHistory &History = m_View.record().m_History;
-  while (
-      !m_WaitingForPosition.empty() &&
-      History.covers(Changed.m_Position, m_WaitingForPosition.begin()->first)) {
+
+  while (!m_WaitingForPosition.empty() &&
+         Changed.m_Position >= m_WaitingForPosition.begin()->first) {
     PendingRequest &Request = *m_WaitingForPosition.begin()->second;
     unlink(Request);
     enqueue(Request, false);
--- a/src/decision/proxy/owner/GroupView.h
+++ b/src/decision/proxy/owner/GroupView.h
@@ -43,8 +43,7 @@
   /// Whether the position proves that nothing acknowledged before NotBefore is
   /// missing.
   bool isFresh(Position Position, Time NotBefore) const {
-    return m_Ages.freshAsOf(Position, m_Record.m_History, NotBefore)
-        .has_value();
+    return m_Ages.freshAsOf(Position, NotBefore).has_value();
   }
 
   std::vector<std::unique_ptr<Instance>> &instances() { return m_Instances; }
--- a/src/decision/proxy/owner/ReadRouter.cpp
+++ b/src/decision/proxy/owner/ReadRouter.cpp
@@ -15,8 +15,10 @@
   }
   if (Requirement.m_ConfirmedPrimary)
     return false;
-  return Requirement.m_Position.m_Index == 0 ||
-         View.record().m_History.covers(Position, Requirement.m_Position);
+  // A required position names the term in which a majority held the write.
+  // Every log that holds an entry of a later term holds the write, so that
+  // positions compare by term first.
+  return Position >= Requirement.m_Position;
 }
 
 ReadRouter::Choice ReadRouter::choose(const GroupView &View,
--- a/src/decision/proxy/owner/WriteTracker.cpp
+++ b/src/decision/proxy/owner/WriteTracker.cpp
@@ -4,12 +4,6 @@
 
 namespace almondpier {
 
-bool holdsEntry(Position Reported, Position Entry, const TermHistory &History) {
-  if (Reported.m_Term == Entry.m_Term)
-    return Reported.m_Index >= Entry.m_Index;
-  return History.covers(Reported, Entry);
-}
-
 void WriteTracker::add(PendingRequest &Request) {
   Request.m_Stage = RequestStage::WaitingForMajority;
   Request.m_PositionPlace = m_Waiting.emplace(Request.m_Entry, &Request);
@@ -39,25 +33,15 @@
 
 void WriteTracker::resolve(const GroupView &View,
                            std::vector<PendingRequest *> &Safe,
-                           std::vector<PendingRequest *> &Lost) {
+                           std::vector<PendingRequest *> &Unresolved) {
   if (m_Waiting.empty())
     return;
   Position Held = majorityPosition(View);
-  const TermHistory &History = View.record().m_History;
-  auto It = m_Waiting.begin();
-  while (It != m_Waiting.end() && It->first.m_Term <= Held.m_Term) {
-    PendingRequest &Request = *It->second;
-    if (holdsEntry(Held, It->first, History)) {
-      Safe.push_back(&Request);
-    } else {
-      if (It->first.m_Term == Held.m_Term)
-        return;
-      // The history may not have reached this host yet.
-      if (Held.m_Term != View.record().m_PrimaryTerm)
-        return;
-      Lost.push_back(&Request);
-    }
-    It = m_Waiting.erase(It);
+  while (!m_Waiting.empty() && m_Waiting.begin()->first <= Held) {
+    PendingRequest &Request = *m_Waiting.begin()->second;
+    bool IsHeld = Request.m_Entry.m_Term == Held.m_Term;
+    (IsHeld ? Safe : Unresolved).push_back(&Request);
+    m_Waiting.erase(m_Waiting.begin());
     Request.m_Stage = RequestStage::New;
   }
 }
--- a/src/decision/proxy/owner/WriteTracker.h
+++ b/src/decision/proxy/owner/WriteTracker.h
@@ -7,10 +7,6 @@
 
 namespace almondpier {
 
-/// Whether an instance that was in the term of Reported with a log up to it
-/// holds the entry at Entry.m_Index of the log of the primary of Entry.m_Term.
-bool holdsEntry(Position Reported, Position Entry, const TermHistory &History);
-
 /// Writes that were answered by a primary and wait for a majority.
 class WriteTracker {
 public:
@@ -21,11 +17,14 @@
 
   /// Highest position that a majority of the group holds in one and the same
   /// term; zero when there is none.
-  static Position majorityPosition(const GroupView &View);
-  /// Moves writes that a majority holds to Safe, and writes that cannot be on
-  /// the log of the current term to Lost.
+  static Position majorityPosition(
+      const GroupView &View); /// Moves writes that a majority holds to Safe.
+                              /// Moves writes of a term that
+  /// ended before that to Unresolved: whether the log of a later term holds
+  /// them does not follow from positions, because that log may have grown from
+  /// another one of an older term.
   void resolve(const GroupView &View, std::vector<PendingRequest *> &Safe,
-               std::vector<PendingRequest *> &Lost);
+               std::vector<PendingRequest *> &Unresolved);
   /// Asks instances that lack the lowest waiting write to answer when they have
   /// it.
   void askForPositions(GroupView &View, uint64_t &NextId, ProxyActions &Actions,
--- a/tests/owner/OwnerTest.cpp
+++ b/tests/owner/OwnerTest.cpp
@@ -38,3 +38,30 @@
   CHECK(Seen.m_Body == "r|a,");
   CHECK(Seen.m_ServedByReplica);
 }
+
+TEST_CASE("a write is not acknowledged because a later term began at a higher "
+          "index on the log of an older term") {
+  Simulation Sim({});
+  Sim.run(milliseconds(50));
+  // i0 is primary in term 1 and keeps three entries to itself.
+  Sim.m_ReplicationCut = {{"i0"}};
+  for (const char *Text : {"x", "y", "z"}) {
+    AdmittedRequest Lonely = writeOf(Sim, Text, false);
+    Lonely.m_TimeLeftMs = 50;
+    CHECK(errorOf(Sim.call(Lonely)) == "outcome_unknown/unknown");
+  }
+  // i1 is primary in term 2 and replicates to nobody.
+  Sim.m_ReplicationCut = {{"i0"}, {"i1"}, {"i2"}};
+  Sim.m_ControlCut = {{"i0"}};
+  REQUIRE(Sim.failOver());
+  uint64_t Lost = Sim.submit(writeOf(Sim, "w", false));
+  Sim.run(milliseconds(50));
+  CHECK(Sim.result(Lost) == nullptr);
+  CHECK((Sim.instance("i1").position() == Position{2, 3}));
+  // i0 returns, becomes primary in term 3 and replicates to i2.
+  Sim.m_ControlCut = {{"i1"}};
+  Sim.m_ReplicationCut = {{"i1"}};
+  REQUIRE(Sim.failOver());
+  CHECK((Sim.record().m_History.starts().back() == TermStart{3, 4}));
+  CHECK(errorOf(Sim.finish(Lost)) == "outcome_unknown/unknown");
+}
--- a/tests/owner/Simulation.h
+++ b/tests/owner/Simulation.h
@@ -177,6 +177,8 @@
         [](const FakeInstance *Left, const FakeInstance *Right) {
           return Left->position() < Right->position();
         });
+    if (!Best->m_IsUp)
+      return nullptr;
     m_StartIndex = Best->promote(Best->m_SealedTerm);
     return Best;
   }
@@ -237,6 +239,18 @@
     });
   }
 
+  /// Breaks one connection of the owner.
+  void resetAny(size_t Owner) {
+    std::vector<FakeConnectionKey> Open;
+    for (const std::pair<const FakeConnectionKey, InstanceName> &Entry :
+         m_Connections)
+      if (Entry.first.first == Owner && !m_Closed.contains(Entry.first) &&
+          !m_Broken.contains(Entry.first))
+        Open.push_back(Entry.first);
+    if (!Open.empty())
+      reset(Open[m_Random() % Open.size()]);
+  }
+
   Duration latency() {
     Duration Extra{};
     if (m_Options.m_Jitter > Duration{})
@@ -374,6 +388,7 @@
     InstanceName Name = m_Connections.at(Key);
     --m_OpenConnections[Name];
     m_Outstanding.erase(Key);
+    m_Closed.insert(Key);
     at(latency(), [this, Key, Name] {
       if (!isCut(Key.first, Name))
         m_Instances.at(Name)->m_Transactions.erase(Key);
@@ -385,10 +400,14 @@
     if (m_OnSend)
       m_OnSend(Name, Sent);
     m_Outstanding.insert(Key);
+    if (Sent.m_RequestId == "/warm-up")
+      m_WarmingUp.insert(Key);
+    else
+      m_WarmingUp.erase(Key);
     size_t Count = 0;
     for (const FakeConnectionKey &Other : m_Outstanding)
       Count += Other.first == Key.first && m_Connections.at(Other) == Name &&
-                       Sent.m_RequestId != "/warm-up"
+                       !m_WarmingUp.contains(Other)
                    ? 1
                    : 0;
     m_MaxOutstanding[Name] = std::max(m_MaxOutstanding[Name], Count);
@@ -508,7 +527,9 @@
   std::map<uint16_t, InstanceName> m_ByPort;
   std::map<FakeConnectionKey, InstanceName> m_Connections;
   std::set<FakeConnectionKey> m_Broken;
+  std::set<FakeConnectionKey> m_Closed;
   std::set<FakeConnectionKey> m_Outstanding;
+  std::set<FakeConnectionKey> m_WarmingUp;
   std::map<uint64_t, PendingProbe> m_Probes;
   std::map<InstanceName, std::deque<Job>> m_Jobs;
   std::map<InstanceName, size_t> m_Running;
