--- a/src/decision/proxy/owner/GroupAnswers.cpp
+++ b/src/decision/proxy/owner/GroupAnswers.cpp
@@ -251,8 +251,7 @@
 }
 
 void OwnerGroup::releaseConfirmed(Time Now) {
-  if (m_WaitingForProof.empty())
-    return;
+  m_View.wantRound(0, m_Context.m_NextProbe, m_Context.m_Actions, Now);
   uint64_t Confirmed = m_View.confirmedProbe();
   while (!m_WaitingForProof.empty() &&
          m_WaitingForProof.begin()->first <= Confirmed) {
@@ -266,9 +265,6 @@
       ++m_Context.m_Counters.m_ReadsByPrimary;
     m_Context.complete(Request, std::move(Request.m_Result));
   }
-  if (!m_WaitingForProof.empty())
-    m_View.wantRound(m_WaitingForProof.begin()->first, m_Context.m_NextProbe,
-                     m_Context.m_Actions, Now);
 }
 
 // Writes.
--- a/src/decision/proxy/owner/GroupView.cpp
+++ b/src/decision/proxy/owner/GroupView.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kWaitRetry = std::chrono::milliseconds(25);
 /// A round that is not answered by a majority holds up the next one this long.
 constexpr Duration kRoundPatience = std::chrono::milliseconds(10);
+/// Bounds the probes that confirmed reads cause.
+constexpr Duration kRoundInterval = std::chrono::milliseconds(1);
 
 void GroupView::configure(const DatabaseRecord &Record, Time Now,
                           std::vector<std::unique_ptr<Instance>> &Removed) {
@@ -75,30 +77,24 @@
   }
 }
 
-void GroupView::sendRound(uint64_t &NextId, ProxyActions &Actions, Time Now) {
+void GroupView::wantRound(uint64_t FirstProbe, uint64_t &NextId,
+                          ProxyActions &Actions, Time Now) {
+  m_WantedProbe = std::max(m_WantedProbe, FirstProbe);
+  uint64_t Confirmed = confirmedProbe();
+  if (Confirmed >= m_WantedProbe)
+    return;
+  bool IsRunning = Confirmed < m_RoundFirst;
+  Duration SinceLast = Now - m_RoundSentAt;
+  if (SinceLast < (IsRunning ? kRoundPatience : kRoundInterval))
+    return;
   m_RoundFirst = NextId;
   m_RoundSentAt = Now;
-  m_IsRoundWanted = false;
   for (const std::unique_ptr<Instance> &Member : m_Instances) {
     Member->m_NextProbe = Now + kProbeInterval;
     sendProbe(*Member, NextId, Actions, Now);
   }
 }
 
-void GroupView::wantRound(uint64_t FirstProbe, uint64_t &NextId,
-                          ProxyActions &Actions, Time Now) {
-  bool IsRunning =
-      confirmedProbe() < m_RoundFirst && Now - m_RoundSentAt < kRoundPatience;
-  if (m_RoundFirst >= FirstProbe && IsRunning)
-    return;
-  if (IsRunning) {
-    m_IsRoundWanted = true;
-    return;
-  }
-  if (confirmedProbe() < FirstProbe)
-    sendRound(NextId, Actions, Now);
-}
-
 void GroupView::waitFor(Instance &Instance, Position Wanted, uint64_t &NextId,
                         ProxyActions &Actions, Time Now) {
   if (Instance.m_IsWaiting || Now < Instance.m_NextWait)
--- a/src/decision/proxy/owner/GroupView.h
+++ b/src/decision/proxy/owner/GroupView.h
@@ -24,7 +24,8 @@
   /// Sends the periodic probes that are due.
   void probe(uint64_t &NextId, ProxyActions &Actions, Time Now);
   /// Wants a majority to answer a probe of identifier FirstProbe or later.
-  /// Requests for this are batched into rounds.
+  /// Requests for this are batched into rounds, one at a time; a round that
+  /// cannot be sent now is sent by a later call.
   void wantRound(uint64_t FirstProbe, uint64_t &NextId, ProxyActions &Actions,
                  Time Now);
   /// Sends a probe that waits until the instance holds Wanted, unless one is
@@ -71,7 +72,6 @@
 
   void sendProbe(Instance &Instance, uint64_t &NextId, ProxyActions &Actions,
                  Time Now);
-  void sendRound(uint64_t &NextId, ProxyActions &Actions, Time Now);
   void takeStatus(Instance &Instance, const InstanceStatus &Status,
                   uint64_t Probe, const struct Probe &Sent, Time Now);
 
@@ -84,8 +84,8 @@
   /// First identifier of the latest round on demand, and when it was sent.
   uint64_t m_RoundFirst = 0;
   Time m_RoundSentAt{};
-  /// A round was wanted while one was running.
-  bool m_IsRoundWanted = false;
+  /// Latest FirstProbe that a round was wanted for.
+  uint64_t m_WantedProbe = 0;
 };
 
 } // namespace almondpier
--- a/src/decision/proxy/owner/OwnerGroup.cpp
+++ b/src/decision/proxy/owner/OwnerGroup.cpp
@@ -120,8 +120,10 @@
   if (Admitted.m_Kind == RequestKind::Read) {
     m_Retries.onRequest();
     const ReadRequirement &Requirement = Admitted.m_Requirement;
-    Request.m_NeedsConfirmation =
-        Requirement.m_ConfirmedPrimary && !Requirement.m_MaxAgeMs;
+    // No replica can prove an age of zero.
+    Request.m_NeedsConfirmation = Requirement.m_MaxAgeMs
+                                      ? *Requirement.m_MaxAgeMs == 0
+                                      : Requirement.m_ConfirmedPrimary;
     Request.m_NeedsPrimary = Request.m_NeedsConfirmation;
   } else if (Admitted.m_Kind == RequestKind::Outcome) {
     Request.m_NeedsConfirmation = true;
@@ -251,18 +253,17 @@
 
 void OwnerGroup::cancel(PendingRequest &Request, Time Now) {
   Request.m_IsCancelled = true;
-  if (Request.m_Request.m_Kind == RequestKind::Execute &&
-      Request.m_Transaction != nullptr) {
+  bool IsSent = Request.m_Stage == RequestStage::Sent;
+  bool IsExecute = Request.m_Request.m_Kind == RequestKind::Execute;
+  if (Request.m_Transaction != nullptr && (IsExecute || !IsSent)) {
     rollBack(*Request.m_Transaction, "the caller is gone", Now);
     return;
   }
   // What was sent is left to end, so that its connection stays usable and the
   // outcome of a write is settled; the result is dropped.
-  if (Request.m_Stage == RequestStage::Sent || Request.m_MayHaveRun)
+  if (IsSent || Request.m_MayHaveRun)
     return;
   unlink(Request);
-  if (Request.m_Transaction != nullptr)
-    Request.m_Transaction->m_Statement = nullptr;
   m_Context.complete(Request, RequestResult{});
 }
 
@@ -477,9 +478,7 @@
   checkInstances(Now);
   runTimers(Now);
   updatePools(Now);
-  if (!m_WaitingForProof.empty())
-    m_View.wantRound(m_WaitingForProof.rbegin()->first, m_Context.m_NextProbe,
-                     m_Context.m_Actions, Now);
+  m_View.wantRound(0, m_Context.m_NextProbe, m_Context.m_Actions, Now);
   pump(Now);
 }
 
