Bound the pings on idle links

Cause: pings every 100 ms both ways on every link grow with the square of the number of hosts. An idle proxy among 11 hosts sent 4.8 KB/s and received 5.3 KB/s on links; at 540 hosts that is above 200 KB/s a host, where 8 KB/s are allowed. Ruled out: no pings on idle links, because then the first write after a silent cut ends with unknown outcome (the test 'a silent link is left within 400 ms' showed it). Change: often only with requests in flight; on idle links only the accepting side pings, at most 100 a second in all, and says when the next comes.

--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -528,8 +528,13 @@
 
 /// Shows that the sender and the link are alive.
 struct Ping {
+  /// The sender sends again on this link within this time.
+  uint32_t m_NextWithinMs = 100;
+
   friend auto operator<=>(const Ping &, const Ping &) = default;
-  template <typename Archive> void serialize(Archive & /*Ar*/) {}
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_NextWithinMs);
+  }
 };
 
 using Message =
--- a/src/decision/proxy/ForwardingController.cpp
+++ b/src/decision/proxy/ForwardingController.cpp
@@ -144,6 +144,7 @@
   Entry.m_Request.m_TimeLeftMs = timeLeftMs(Entry.m_Deadline, Now);
   m_BySequence.emplace(Entry.m_Sequence, Id);
   ++m_ForwardedCount;
+  m_Links.onRequestStarted(Link, Now);
   m_Actions.push_back(
       SendMessage{Link, ForwardRequest{Entry.m_Sequence, Entry.m_Request}});
 }
@@ -177,6 +178,7 @@
     m_Owner.cancel(*Entry.m_Ticket, Now);
   } else if (Entry.m_Link) {
     m_BySequence.erase(Entry.m_Sequence);
+    m_Links.onRequestDone(*Entry.m_Link);
     m_Actions.push_back(
         SendMessage{*Entry.m_Link, ForwardCancel{Entry.m_Sequence}});
   }
@@ -207,6 +209,7 @@
     return;
   }
   m_BySequence.erase(Found);
+  m_Links.onRequestDone(Link);
   Entry.m_Link.reset();
   if (isMisdirected(Reply.m_Result) &&
       !isTransactionStep(Entry.m_Request.m_Kind)) {
@@ -282,6 +285,7 @@
   m_Served.emplace(Added.m_Value, Served{Link, Request.m_Sequence});
   m_ServedTickets.emplace(std::pair(Link, Request.m_Sequence), Added);
   ++m_ServedCount;
+  m_Links.onRequestStarted(Link, Now);
   m_Owner.submit(Added, Request.m_Request, Now);
 }
 
@@ -291,6 +295,7 @@
   if (Found == m_ServedTickets.end())
     return;
   m_Owner.cancel(Found->second, Now);
+  m_Links.onRequestDone(Link);
   m_Served.erase(Found->second.m_Value);
   m_ServedTickets.erase(Found);
 }
@@ -323,6 +328,7 @@
   Served Answered = Found->second;
   m_Served.erase(Found);
   m_ServedTickets.erase(std::pair(Answered.m_Link, Answered.m_Sequence));
+  m_Links.onRequestDone(Answered.m_Link);
   m_Actions.push_back(SendMessage{
       Answered.m_Link,
       ForwardReply{Answered.m_Sequence, withBoundedBody(Completed.m_Result)}});
@@ -349,6 +355,7 @@
     m_Owner.cancel(*Entry.m_Ticket, Now);
   } else {
     m_BySequence.erase(Entry.m_Sequence);
+    m_Links.onRequestDone(*Entry.m_Link);
     m_Actions.push_back(
         SendMessage{*Entry.m_Link, ForwardCancel{Entry.m_Sequence}});
   }
--- a/src/decision/proxy/LinkTable.cpp
+++ b/src/decision/proxy/LinkTable.cpp
@@ -97,7 +97,8 @@
 
 void LinkTable::onOpened(LinkId Link, Time Now) {
   if (isAccepted(Link)) {
-    m_Accepted[Link.m_Value] = Accepted{Now};
+    // A first ping is due at once, so that the opener learns the interval.
+    m_Accepted[Link.m_Value] = Traffic{Now, Time::min(), Now, 0, kPingInterval};
     return;
   }
   auto Peer = m_PeerByLink.find(Link.m_Value);
@@ -106,7 +107,7 @@
   Outgoing &Entry = m_Outgoing.at(Peer->second);
   Entry.m_State = LinkState::Up;
   Entry.m_ChangedAt = Now;
-  Entry.m_LastInput = Now;
+  Entry.m_Traffic = Traffic{Now, Now, Now, 0, kPingInterval};
   Entry.m_Backoff = Duration::zero();
 }
 
@@ -121,16 +122,40 @@
     drop(m_Outgoing.at(Peer->second), Now, false);
 }
 
-void LinkTable::onInput(LinkId Link, Time Now) {
+LinkTable::Traffic *LinkTable::trafficOf(LinkId Link) {
   if (isAccepted(Link)) {
     auto Found = m_Accepted.find(Link.m_Value);
-    if (Found != m_Accepted.end())
-      Found->second.m_LastInput = Now;
-    return;
+    return Found == m_Accepted.end() ? nullptr : &Found->second;
   }
   auto Peer = m_PeerByLink.find(Link.m_Value);
-  if (Peer != m_PeerByLink.end())
-    m_Outgoing.at(Peer->second).m_LastInput = Now;
+  return Peer == m_PeerByLink.end() ? nullptr
+                                    : &m_Outgoing.at(Peer->second).m_Traffic;
+}
+
+void LinkTable::onInput(LinkId Link, Time Now) {
+  if (Traffic *Found = trafficOf(Link))
+    Found->m_LastInput = Now;
+}
+
+void LinkTable::onPing(LinkId Link, const Ping &Received) {
+  if (Traffic *Found = trafficOf(Link))
+    Found->m_PeerInterval = std::max<Duration>(
+        kPingInterval, std::chrono::milliseconds(Received.m_NextWithinMs));
+}
+
+void LinkTable::onRequestStarted(LinkId Link, Time Now) {
+  Traffic *Found = trafficOf(Link);
+  if (Found == nullptr)
+    return;
+  if (Found->m_InFlight == 0)
+    Found->m_BusySince = Now;
+  ++Found->m_InFlight;
+}
+
+void LinkTable::onRequestDone(LinkId Link) {
+  Traffic *Found = trafficOf(Link);
+  if (Found != nullptr && Found->m_InFlight > 0)
+    --Found->m_InFlight;
 }
 
 void LinkTable::onResumed(Time Now) {
@@ -162,13 +187,20 @@
   // Control hosts are judged by their answers to polls and token requests.
   bool IsBetweenProxies =
       Entry.m_Uses == static_cast<uint8_t>(LinkUse::Forward);
-  if (IsBetweenProxies && Now - Entry.m_LastInput >= kLinkSilenceLimit)
+  const Traffic &Traffic = Entry.m_Traffic;
+  Duration Limit = Traffic.m_InFlight > 0
+                       ? kLinkSilenceLimit
+                       : kMissedIdlePings * Traffic.m_PeerInterval;
+  if (IsBetweenProxies && Traffic.silence(Now) >= Limit)
     drop(Entry, Now, true);
 }
 
 void LinkTable::closeSilentAccepted(Time Now) {
   for (auto Entry = m_Accepted.begin(); Entry != m_Accepted.end();) {
-    if (Now - Entry->second.m_LastInput < kAcceptedSilenceLimit) {
+    const Traffic &Traffic = Entry->second;
+    // The opener sends nothing on an idle link.
+    if (Traffic.m_InFlight == 0 ||
+        Traffic.silence(Now) < kAcceptedSilenceLimit) {
       ++Entry;
       continue;
     }
@@ -178,13 +210,32 @@
   }
 }
 
+Duration LinkTable::idlePingInterval() const {
+  constexpr Duration kSecond = std::chrono::seconds(1);
+  Duration Interval = kSecond * static_cast<int64_t>(m_Accepted.size()) /
+                      static_cast<int64_t>(kMaxIdlePingsPerSecond);
+  return std::max(Interval, kPingInterval);
+}
+
+void LinkTable::pingIfDue(LinkId Link, Traffic &Traffic, Duration Interval,
+                          Time Now) {
+  bool IsFirst = Traffic.m_LastPing == Time::min();
+  if (!IsFirst && Now - Traffic.m_LastPing < Interval)
+    return;
+  Traffic.m_LastPing = Now;
+  uint32_t NextWithinMs = static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Interval).count());
+  m_Actions.push_back(SendMessage{Link, Ping{NextWithinMs}});
+}
+
 void LinkTable::sendPings(Time Now) {
-  m_LastPing = Now;
-  for (const auto &[Peer, Entry] : m_Outgoing)
-    if (Entry.m_State == LinkState::Up)
-      m_Actions.push_back(SendMessage{Entry.m_Link, Ping()});
-  for (const auto &[Link, Entry] : m_Accepted)
-    m_Actions.push_back(SendMessage{LinkId{Link}, Ping()});
+  for (auto &[Peer, Entry] : m_Outgoing)
+    if (Entry.m_State == LinkState::Up && Entry.m_Traffic.m_InFlight > 0)
+      pingIfDue(Entry.m_Link, Entry.m_Traffic, kPingInterval, Now);
+  Duration Idle = idlePingInterval();
+  for (auto &[Link, Traffic] : m_Accepted)
+    pingIfDue(LinkId{Link}, Traffic,
+              Traffic.m_InFlight > 0 ? kPingInterval : Idle, Now);
 }
 
 void LinkTable::tick(Time Now) {
@@ -194,8 +245,7 @@
   for (auto &[Peer, Entry] : m_Outgoing)
     watch(Peer, Entry, Now);
   closeSilentAccepted(Now);
-  if (Now - m_LastPing >= kPingInterval)
-    sendPings(Now);
+  sendPings(Now);
 }
 
 std::vector<LinkId> LinkTable::takeLost() {
--- a/src/decision/proxy/LinkTable.h
+++ b/src/decision/proxy/LinkTable.h
@@ -5,6 +5,7 @@
 
 #include "decision/proxy/ProxyEvents.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace almondpier {
@@ -15,8 +16,16 @@
 /// Connecting: the first attempt since the peer was last known to be up.
 enum class LinkState : uint8_t { Connecting, Up, Down };
 
+/// Interval of pings on a link with requests in flight.
 constexpr Duration kPingInterval = std::chrono::milliseconds(100);
-/// A link between proxies without input for so long is down.
+/// Upper bound of pings on idle links that a host sends, over all links it
+/// accepted. At 540 hosts each host has links from all others, and a ping every
+/// 100 ms on each would cost it more than 100 KB/s.
+constexpr size_t kMaxIdlePingsPerSecond = 100;
+/// An idle link is down after this many missed intervals of its peer.
+constexpr int kMissedIdlePings = 4;
+/// A link between proxies with requests in flight and without input for so long
+/// is down.
 constexpr Duration kLinkSilenceLimit = std::chrono::milliseconds(400);
 
 class LinkTable {
@@ -39,6 +48,12 @@
   void onOpened(LinkId Link, Time Now);
   void onClosed(LinkId Link, Time Now);
   void onInput(LinkId Link, Time Now);
+  /// The peer said when it sends again on an idle link.
+  void onPing(LinkId Link, const Ping &Received);
+  /// A request was sent on a link that this host opened, or arrived on one that
+  /// it accepted. Until the request is done both sides send pings often.
+  void onRequestStarted(LinkId Link, Time Now);
+  void onRequestDone(LinkId Link);
   /// Closes every link: what arrives on them may be as old as the suspension.
   void onResumed(Time Now);
   void tick(Time Now);
@@ -48,34 +63,46 @@
   uint64_t lostCount() const { return m_LostCount; }
 
 private:
+  struct Traffic {
+    Time m_LastInput;
+    Time m_LastPing;
+    /// When the requests in flight began; older input proves nothing.
+    Time m_BusySince;
+    size_t m_InFlight = 0;
+    /// As the peer said in its last ping.
+    Duration m_PeerInterval = kPingInterval;
+
+    Duration silence(Time Now) const {
+      return Now - std::max(m_LastInput, m_BusySince);
+    }
+  };
   struct Outgoing {
     LinkId m_Link;
     LinkState m_State = LinkState::Connecting;
     uint8_t m_Uses = 0;
     bool m_IsOpen = false;
     Time m_ChangedAt;
-    Time m_LastInput;
+    Traffic m_Traffic;
     Time m_RetryAt;
     Duration m_Backoff{};
   };
-  struct Accepted {
-    Time m_LastInput;
-  };
 
   void open(const Endpoint &Peer, Outgoing &Entry, Time Now);
   void drop(Outgoing &Entry, Time Now, bool CloseIt);
   void watch(const Endpoint &Peer, Outgoing &Entry, Time Now);
   void sendPings(Time Now);
+  void pingIfDue(LinkId Link, Traffic &Traffic, Duration Interval, Time Now);
+  Duration idlePingInterval() const;
+  Traffic *trafficOf(LinkId Link);
   void closeSilentAccepted(Time Now);
 
   ProxyActions &m_Actions;
   std::map<Endpoint, Outgoing> m_Outgoing;
   std::unordered_map<uint64_t, Endpoint> m_PeerByLink;
-  std::unordered_map<uint64_t, Accepted> m_Accepted;
+  std::unordered_map<uint64_t, Traffic> m_Accepted;
   std::vector<LinkId> m_Lost;
   uint64_t m_LastOdd = 0;
   uint64_t m_LostCount = 0;
-  Time m_LastPing;
   Time m_LastWatch;
 };
 
--- a/src/decision/proxy/ProxyCore.cpp
+++ b/src/decision/proxy/ProxyCore.cpp
@@ -99,7 +99,9 @@
     else if (const ForwardCancel *Cancel =
                  std::get_if<ForwardCancel>(&Received))
       m_Forwarding.onCancel(Event.m_Link, *Cancel, Now);
-    else if (!std::holds_alternative<Ping>(Received))
+    else if (const Ping *Alive = std::get_if<Ping>(&Received))
+      m_Links.onPing(Event.m_Link, *Alive);
+    else
       ++m_UnexpectedCount;
   }
 
