--- a/tests/consensus/RandomCluster.h
+++ b/tests/consensus/RandomCluster.h
@@ -23,6 +23,23 @@
   bool m_KeepIdentifier = false;
 };
 
+enum class FaultKind : uint8_t {
+  Loss,
+  Delay,
+  Repetition,
+  Partition,
+  LinkCut,
+  Crash,
+  LeaderCrash,
+  QuickRestart,
+  CrashAtSync,
+  Pause,
+  LostDisk,
+  Removal,
+  Transfer
+};
+constexpr size_t kFaultKinds = 13;
+
 struct RandomStatistics {
   uint64_t m_Committed = 0;
   uint64_t m_Terms = 0;
@@ -39,9 +56,16 @@
   explicit RandomCluster(uint64_t Seed, Sabotage Broken = {})
       : m_Random(Seed), m_Broken(Broken) {
     m_Options.m_ClusterId = 1;
+    m_IdleSteps = pick(2) == 0 ? 100 : 10'000;
     if (Broken.m_LongLease)
       m_Options.m_LeaseDuration = m_Options.m_ElectionTimeout * 5;
-    m_Harshness = 1 + pick(4);
+    // Each run leaves out some kinds of faults: many kinds at once hide those
+    // that need a quiet cluster around them.
+    for (uint64_t &Weight : m_Weights)
+      Weight = std::array<uint64_t, 4>{0, 0, 1, 4}.at(pick(4));
+    // Slow networks have frequent elections with votes that cross.
+    m_MaxDelayUs =
+        std::array<uint64_t, 4>{3'000, 3'000, 30'000, 150'000}.at(pick(4));
     size_t Hosts = 3 + pick(3);
     bool Grows = pick(2) == 0;
     PersistedLog Log = makeInitialLog(controlMember(1));
@@ -82,8 +106,10 @@
   using Iterator = std::map<uint64_t, Host>::iterator;
 
   uint64_t pick(uint64_t Bound) { return m_Random() % Bound; }
-  /// True once in Bound times on average, more often in harsher runs.
-  bool happens(uint64_t Bound) { return m_Faulty && pick(Bound) < m_Harshness; }
+  /// True once in Bound times on average, or more or less often in this run.
+  bool happens(FaultKind Kind, uint64_t Bound) {
+    return m_Faulty && pick(Bound) < m_Weights.at(static_cast<size_t>(Kind));
+  }
   Time nowAt(const Host &Host) const { return m_Now + Host.m_ClockOffset; }
   bool isRunning(const Host &Host) const {
     return Host.m_Consensus && Host.m_PausedUntil <= m_Now;
@@ -112,7 +138,8 @@
   void crash(Host &Host) {
     ++m_Statistics.m_Crashes;
     Host.m_Consensus.reset();
-    Host.m_RestartAt = m_Now + ms(static_cast<int64_t>(pick(1'500)));
+    Host.m_RestartAt =
+        m_Now + ms(static_cast<int64_t>(pick(3) == 0 ? 0 : pick(1'500)));
     std::vector<LogEntry> &Entries = Host.m_Disk.m_Entries;
     if (m_Broken.m_LoseSyncedEntries && !Entries.empty())
       Entries.resize(Entries.size() - 1 -
@@ -133,9 +160,7 @@
     ConsensusOutput Output = Host.m_Consensus->takeOutput();
     if (Output.empty())
       return;
-    if (Host.m_Consensus->isLeader())
-      m_Checks.leads(Host.m_Id, Host.m_Consensus->term());
-    if (happens(4'000)) {
+    if (happens(FaultKind::CrashAtSync, 4'000)) {
       // Before the sync: any part of the batch may have reached the disk.
       if (pick(2) == 0)
         Output.m_InstalledSnapshot.reset();
@@ -149,7 +174,7 @@
       return;
     }
     persist(Host.m_Disk, Output);
-    bool CrashesNow = happens(4'000);
+    bool CrashesNow = happens(FaultKind::CrashAtSync, 4'000);
     for (const ConsensusMessage &Message : Output.m_Messages)
       if (!CrashesNow || pick(2) == 0)
         send(Message);
@@ -180,16 +205,18 @@
   void send(const ConsensusMessage &Message) {
     uint64_t From = Message.m_From.m_Value;
     uint64_t To = Message.m_To.m_Value;
-    bool IsCut = m_Sides[From % m_Sides.size()] != m_Sides[To % m_Sides.size()];
+    bool IsCut =
+        m_Sides[From % m_Sides.size()] != m_Sides[To % m_Sides.size()] ||
+        m_CutLinks.contains({Message.m_From, Message.m_To});
     if (m_Faulty && IsCut)
       return;
-    if (happens(40))
+    if (happens(FaultKind::Loss, 40))
       return;
-    int Copies = happens(60) ? 2 : 1;
+    int Copies = happens(FaultKind::Repetition, 60) ? 2 : 1;
     for (int Copy = 0; Copy < Copies; ++Copy) {
-      Duration Delay(500 + pick(3'000));
-      if (happens(50))
-        Delay = ms(static_cast<int64_t>(pick(happens(20) ? 3'000 : 200)));
+      Duration Delay(500 + pick(m_Faulty ? m_MaxDelayUs : 3'000));
+      if (happens(FaultKind::Delay, 50))
+        Delay = ms(static_cast<int64_t>(pick(pick(20) == 0 ? 3'000 : 200)));
       m_Network.emplace(m_Now + Delay, Message);
     }
   }
@@ -214,11 +241,15 @@
         continue;
       }
       To->m_Consensus->receive(Message, nowAt(*To));
-      settle(*To);
+      // A driver may carry out the output of several calls together.
+      if (pick(4) > 0)
+        settle(*To);
     }
     for (auto &[Number, Host] : m_Hosts)
       if (isRunning(Host)) {
-        Host.m_Consensus->tick(nowAt(Host));
+        // Timers can be late, so that requests come first after a pause.
+        if (pick(3) > 0)
+          Host.m_Consensus->tick(nowAt(Host));
         settle(Host);
       } else if (!Host.m_Consensus && Host.m_RestartAt <= m_Now) {
         start(Host);
@@ -232,9 +263,12 @@
   void checkLeases() {
     std::vector<const Consensus *> Holders;
     // A paused member counts too: it may act at once when it resumes.
-    for (const auto &[Number, Host] : m_Hosts)
+    for (const auto &[Number, Host] : m_Hosts) {
+      if (Host.m_Consensus && Host.m_Consensus->isLeader())
+        m_Checks.leads(Host.m_Id, Host.m_Consensus->term());
       if (Host.m_Consensus && Host.m_Consensus->holdsLease(nowAt(Host)))
         Holders.push_back(Host.m_Consensus.get());
+    }
     m_Checks.lease(Holders);
     m_Statistics.m_LeaseSteps += Holders.size();
   }
@@ -242,14 +276,14 @@
   /// What the program around a member does.
   void work(Host &Host) {
     if (Host.m_Consensus->isLeader()) {
-      if (pick(10) == 0)
+      if ((m_Proposes || !m_Faulty) && pick(10) == 0)
         Host.m_Consensus->propose("entry " + std::to_string(++m_LastEntry),
                                   nowAt(Host));
       settleIfRunning(Host);
       if (Host.m_Consensus && pick(20) == 0)
         changeMembership(Host);
       settleIfRunning(Host);
-      if (Host.m_Consensus && happens(2'000))
+      if (Host.m_Consensus && happens(FaultKind::Transfer, 1'000))
         Host.m_Consensus->transferLeadership(nowAt(Host));
       settleIfRunning(Host);
     }
@@ -280,7 +314,7 @@
     size_t Padding = pick(20) == 0 ? kMaxSnapshotChunkBytes * 2 : 0;
     Host.m_Consensus->compact(Host.m_Applied.m_Index,
                               encode(Host.m_Applied, Padding));
-    if (!happens(20))
+    if (!happens(FaultKind::CrashAtSync, 20))
       persistSnapshot(Host.m_Disk, Host.m_Consensus->snapshot());
     else
       crash(Host);
@@ -318,7 +352,8 @@
       }
     for (size_t Number = 0; Number < Next.m_Voters.size(); ++Number) {
       Host *Found = find(Next.m_Voters[Number].m_Id);
-      bool IsUnwanted = Next.m_Voters.size() > 2 && happens(400);
+      bool IsUnwanted =
+          Next.m_Voters.size() > 2 && happens(FaultKind::Removal, 400);
       if (Found && !IsUnwanted)
         continue;
       if (Found)
@@ -342,21 +377,53 @@
   }
 
   void injectFaults() {
-    if (happens(2'000))
+    if (happens(FaultKind::Partition, 1'000))
       for (int &Side : m_Sides)
         Side = static_cast<int>(pick(2));
     if (pick(300) == 0)
       m_Sides.fill(0);
+    // Links fail in one direction: a member that no longer hears the leader
+    // still asks the others for their votes.
+    if (happens(FaultKind::LinkCut, 400)) {
+      std::pair<MemberId, MemberId> Link{pickMember(), pickMember()};
+      for (auto &[Number, Host] : m_Hosts)
+        if (isRunning(Host) && Host.m_Consensus->isLeader())
+          Link.first = Host.m_Id;
+      // One link at a time; with many the whole cluster stands still.
+      m_CutLinks = {Link};
+      if (pick(2) == 0)
+        m_CutLinks.insert({Link.second, Link.first});
+    }
+    // Entries that a member missed keep it from being elected, so faults of
+    // elections show only while nothing is proposed.
+    if (pick(m_Proposes ? 300 : m_IdleSteps) == 0)
+      m_Proposes = !m_Proposes;
+    if (pick(800) == 0)
+      m_CutLinks.clear();
     for (auto &[Number, Host] : m_Hosts) {
-      if (isRunning(Host) && happens(8'000))
+      bool Leads = isRunning(Host) && Host.m_Consensus->isLeader();
+      if (isRunning(Host) && (Leads ? happens(FaultKind::LeaderCrash, 1'000)
+                                    : happens(FaultKind::Crash, 4'000)))
+        crash(Host);
+      // A quick restart, after which a member has forgotten that it heard a
+      // leader a moment ago.
+      if (isRunning(Host) && happens(FaultKind::QuickRestart, 2'000)) {
         crash(Host);
-      if (isRunning(Host) && happens(8'000))
+        Host.m_RestartAt = m_Now;
+      }
+      if (isRunning(Host) && happens(FaultKind::Pause, 4'000))
         Host.m_PausedUntil = m_Now + ms(static_cast<int64_t>(pick(2'000)));
-      if (happens(4'000) && canLoseDisk(Host))
+      if (happens(FaultKind::LostDisk, 4'000) && canLoseDisk(Host))
         loseDisk(Host);
     }
   }
 
+  MemberId pickMember() {
+    return std::next(m_Hosts.begin(),
+                     static_cast<std::ptrdiff_t>(pick(m_Hosts.size())))
+        ->second.m_Id;
+  }
+
   /// Whether the cluster survives the loss of this disk: every voter has its
   /// disk and no change of the membership is under way.
   bool canLoseDisk(const Host &Lost) {
@@ -416,8 +483,11 @@
   std::mt19937_64 m_Random;
   Sabotage m_Broken;
   ConsensusOptions m_Options;
-  uint64_t m_Harshness = 1;
+  std::array<uint64_t, kFaultKinds> m_Weights{};
+  uint64_t m_MaxDelayUs = 0;
   bool m_Faulty = true;
+  bool m_Proposes = true;
+  uint64_t m_IdleSteps = 0;
   Time m_Now{std::chrono::hours(1)};
   std::map<uint64_t, Host> m_Hosts;
   uint64_t m_NextHost = 0;
@@ -426,6 +496,8 @@
   std::multimap<Time, ConsensusMessage> m_Network;
   /// Which side of a partition a member is on.
   std::array<int, 16> m_Sides{};
+  /// Links that lose everything, by sender and receiver.
+  std::set<std::pair<MemberId, MemberId>> m_CutLinks;
   ClusterChecks m_Checks;
   RandomStatistics m_Statistics;
 };
