--- a/programs/Proxy.cpp
+++ b/programs/Proxy.cpp
@@ -10,7 +10,7 @@
 ABSL_FLAG(std::string, host, "", "Name of this host");
 ABSL_FLAG(std::string, zone, "", "Availability zone of this host");
 ABSL_FLAG(std::string, listen, "", "ADDRESS:PORT for callers (HTTP)");
-ABSL_FLAG(std::string, peer_listen, "",
+ABSL_FLAG(std::string, peer, "",
           "ADDRESS:PORT for other hosts (TCP and UDP); they connect to it");
 ABSL_FLAG(std::string, control, "",
           "Peer endpoints of the control hosts, ADDRESS:PORT,...");
@@ -26,7 +26,7 @@
       {"host", SettingKind::Name, std::nullopt},
       {"zone", SettingKind::Name, std::nullopt},
       {"listen", SettingKind::Endpoint, std::nullopt},
-      {"peer_listen", SettingKind::Endpoint, std::nullopt},
+      {"peer", SettingKind::Endpoint, std::nullopt},
       {"control", SettingKind::EndpointList, std::nullopt},
       {"fleet_secret", SettingKind::Secret, std::nullopt},
       {"max_connections", SettingKind::Integer, "20000", 1, 1'000'000},
@@ -37,7 +37,7 @@
   ProxySettings Result;
   Result.m_Host = HostRecord{HostName{Loaded.text("host")},
                              AvailabilityZone{Loaded.text("zone")},
-                             Loaded.endpoint("peer_listen")};
+                             Loaded.endpoint("peer")};
   Result.m_Listen = Loaded.endpoint("listen");
   Result.m_Control = Loaded.endpoints("control");
   Result.m_FleetSecret = Loaded.text("fleet_secret");
