--- a/src/decision/proxy/AdmissionController.cpp
+++ b/src/decision/proxy/AdmissionController.cpp
@@ -6,9 +6,9 @@
 
 using std::chrono::milliseconds;
 
-// Bounds the memory that held requests take (64 KiB each at most).
-static constexpr size_t kMaxHeld = 5'000;
-static constexpr uint32_t kHeldRetryMs = 500;
+// Bounds the memory that requests take while they wait.
+static constexpr size_t kMaxStatementBytes = size_t{128} << 20U;
+static constexpr uint32_t kOverloadRetryMs = 500;
 // Owners roll a transaction back after 10 s without a statement.
 static constexpr Duration kTransactionIdle = milliseconds(10'000);
 
@@ -33,8 +33,16 @@
                                      "this host is shutting down", Ran::No, 0});
     return;
   }
+  if (m_StatementBytes + Request.m_Statement.size() > kMaxStatementBytes) {
+    refuse(Request.m_Id,
+           ErrorReport{ErrorKind::Overloaded, "too many requests wait", Ran::No,
+                       kOverloadRetryMs});
+    return;
+  }
   Call &Added = m_Calls[Request.m_Id.m_Value];
   Added.m_Request = Request;
+  Added.m_StatementBytes = Request.m_Statement.size();
+  m_StatementBytes += Added.m_StatementBytes;
   Added.m_Deadline = Now + milliseconds(Request.m_TimeoutMs);
   advance(Added, false, Now);
 }
@@ -51,6 +59,14 @@
     m_Tokens.stopWaiting(Call.m_Organisation, Id);
   if (Call.m_Stage == Stage::Held)
     std::erase(m_Held, Id);
+  forget(Id);
+}
+
+void AdmissionController::forget(CallerRequestId Id) {
+  auto Found = m_Calls.find(Id.m_Value);
+  if (Found == m_Calls.end())
+    return;
+  m_StatementBytes -= Found->second.m_StatementBytes;
   m_Calls.erase(Found);
 }
 
@@ -129,12 +145,6 @@
 
 void AdmissionController::hold(Call &Call, Time Now) {
   CallerRequestId Id = Call.m_Request.m_Id;
-  if (m_Held.size() >= kMaxHeld) {
-    refuse(Id, ErrorReport{ErrorKind::Overloaded,
-                           "too many requests wait for a fresh configuration",
-                           Ran::No, kHeldRetryMs});
-    return;
-  }
   Call.m_Stage = Stage::Held;
   if (!Call.m_HeldSince)
     Call.m_HeldSince = Now;
@@ -182,7 +192,7 @@
   Reply.m_Id = Id;
   Reply.m_Error = Error;
   m_Actions.push_back(std::move(Reply));
-  m_Calls.erase(Id.m_Value);
+  forget(Id);
 }
 
 std::string
@@ -259,7 +269,7 @@
   Reply.m_ServedByReplica = Result.m_ServedByReplica;
   Reply.m_Instance = Result.m_Instance;
   m_Actions.push_back(std::move(Reply));
-  m_Calls.erase(Found);
+  forget(Finished.m_Id);
 }
 
 void AdmissionController::advanceWaiting(Time Now) {
--- a/src/decision/proxy/AdmissionController.h
+++ b/src/decision/proxy/AdmissionController.h
@@ -40,6 +40,7 @@
     Time m_Deadline;
     Stage m_Stage = Stage::Held;
     std::optional<Time> m_HeldSince;
+    size_t m_StatementBytes = 0;
     OrganisationName m_Organisation;
     KeyId m_Key;
     /// What the session token said; an unknown past without a valid one.
@@ -58,6 +59,7 @@
   void forward(Call &Call, Time Now);
   AdmittedRequest admitted(Call &Call) const;
   void refuse(CallerRequestId Id, const ErrorReport &Error);
+  void forget(CallerRequestId Id);
   std::string sessionTokenAfter(Call &Call, const RequestResult &Result) const;
   std::string transactionTokenOf(const Call &Call,
                                  const RequestResult &Result) const;
@@ -71,6 +73,7 @@
   SessionTokenCodec m_SessionCodec;
   TransactionTokenCodec m_TransactionCodec;
   std::unordered_map<uint64_t, Call> m_Calls;
+  size_t m_StatementBytes = 0;
   std::vector<CallerRequestId> m_Held;
   /// Time of the last step of each open transaction.
   std::map<TransactionId, Time> m_OpenTransactions;
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -42,6 +42,10 @@
   if (!IsNewLink && Now - m_LastPoll < kPollInterval)
     return;
   // The configuration is asked for without delay on a new link.
+  if (IsNewLink) {
+    m_Outstanding.clear();
+    m_WaitingSince = Now;
+  }
   m_PolledLink = Link;
   sendPoll(*Link, Now);
 }
--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -19,6 +19,7 @@
 // Time for a returned token to reach the leader before it expires there.
 static constexpr Duration kReturnMargin = milliseconds(60);
 static constexpr Duration kUseWindow = milliseconds(100);
+static constexpr double kUseWindowSeconds = 0.1;
 // Tokens are borrowed ahead for the use expected in this time.
 static constexpr double kAheadSeconds = 0.1;
 static constexpr uint32_t kMaxTokensPerAsk = 100'000;
