--- a/src/decision/control/FailoverController.cpp
+++ b/src/decision/control/FailoverController.cpp
@@ -27,6 +27,7 @@
   m_Calls.clear();
   m_Groups.clear();
   m_Followers.clear();
+  m_Spares.clear();
   m_DrainSince.clear();
   m_MovedAt.clear();
   m_RoleLostSince.clear();
@@ -45,6 +46,8 @@
   auto Group = m_Groups.find(Call->m_Database);
   const DatabaseRecord *Record =
       m_Board.configuration().findDatabase(Call->m_Database);
+  if (Call->m_Kind == InstanceCallKind::Status && Record != nullptr)
+    m_Spares[Call->m_Database].onAnswered(*Call, Event, *Record, Context);
   if (Group == m_Groups.end() || Record == nullptr)
     return;
   Group->second->onAnswered(*Call, Event, Context);
@@ -97,6 +100,7 @@
     for (const HostReport &Report : Reports->second)
       Followers.onDisagreement(Report.m_Report->m_Instance);
   Followers.tick(Name, Record, m_Calls, Context);
+  m_Spares[Name].tick(Name, Record, m_Calls, Context);
 }
 
 std::optional<std::string>
--- a/src/decision/control/FailoverController.h
+++ b/src/decision/control/FailoverController.h
@@ -2,7 +2,7 @@
 /// Changes of primary, one state machine per database.
 #pragma once
 
-#include "decision/control/GroupFailover.h"
+#include "decision/control/SpareAdmission.h"
 
 #include <memory>
 
@@ -48,6 +48,7 @@
   InstanceCalls m_Calls;
   std::map<DatabaseName, std::unique_ptr<GroupFailover>> m_Groups;
   std::map<DatabaseName, FollowSupervisor> m_Followers;
+  std::map<DatabaseName, SpareAdmission> m_Spares;
   /// When the drain of a primary was first seen, and when a move was last
   /// tried.
   std::map<DatabaseName, Time> m_DrainSince;
