--- a/src/decision/control/FailoverController.cpp
+++ b/src/decision/control/FailoverController.cpp
@@ -52,7 +52,14 @@
     return;
   Group->second->onAnswered(*Call, Event, Context);
   // The next step starts without waiting for the clock.
-  Group->second->tick(*Record, m_Calls, Context);
+  advance(*Group->second, Call->m_Database, *Record, Context);
+}
+
+void FailoverController::advance(GroupFailover &Group, const DatabaseName &Name,
+                                 const DatabaseRecord &Record,
+                                 ControlContext &Context) {
+  Group.tick(Record, m_Calls, Context);
+  m_Board.m_FailoverSteps[Name] = nameOf(Group.step());
 }
 
 void FailoverController::tick(ControlContext &Context) {
@@ -84,8 +91,7 @@
                                            ControlContext &Context) {
   auto Group = m_Groups.find(Name);
   if (Group != m_Groups.end()) {
-    Group->second->tick(Record, m_Calls, Context);
-    m_Board.m_FailoverSteps[Name] = nameOf(Group->second->step());
+    advance(*Group->second, Name, Record, Context);
     if (Group->second->step() != GroupFailover::Step::Done)
       return;
     finish(*Group->second, Context);
@@ -202,8 +208,8 @@
   m_RoleLostSince.erase(Name);
   m_Groups[Name] = std::make_unique<GroupFailover>(
       Name, Reason, detectionTime(Name), Context.m_Now);
-  m_Groups[Name]->tick(*m_Board.configuration().findDatabase(Name), m_Calls,
-                       Context);
+  advance(*m_Groups[Name], Name, *m_Board.configuration().findDatabase(Name),
+          Context);
 }
 
 void FailoverController::finish(const GroupFailover &Group,
--- a/src/decision/control/FailoverController.h
+++ b/src/decision/control/FailoverController.h
@@ -38,6 +38,8 @@
                                            Time Now);
   bool isPrimaryLost(const DatabaseName &Name, const DatabaseRecord &Record,
                      Time Now);
+  void advance(GroupFailover &Group, const DatabaseName &Name,
+               const DatabaseRecord &Record, ControlContext &Context);
   Duration detectionTime(const DatabaseName &Name) const;
   void start(const DatabaseName &Name, const std::string &Reason,
              ControlContext &Context);
--- /dev/null
+++ b/tests/control/AllocatorTest.cpp
@@ -0,0 +1,212 @@
+#include "control/Simulation.h"
+#include "decision/control/AllocatorController.h"
+
+#include <random>
+
+using namespace almondpier;
+using namespace almondpier::controltest;
+
+namespace {
+
+const OrganisationName kOrganisation{"one"};
+
+/// A token that a proxy may use from the moment it asked until it expires.
+struct LentToken {
+  Time m_AskedAt;
+  Time m_ValidUntil;
+};
+
+/// Collects loans and uses each token at a moment of its validity that a seed
+/// chooses, or gives it back.
+class Borrower {
+public:
+  Borrower(Simulation &Sim, uint64_t Seed) : m_Sim(Sim), m_Random(Seed) {}
+
+  void ask(size_t Leader, uint32_t Waiting, uint32_t Ahead) {
+    m_AskedAt[++m_Sequence] = m_Sim.m_Now;
+    m_Sim.handle(
+        Leader,
+        MessageReceived{Simulation::kProxyLink,
+                        TokenRequest{{"h" + std::to_string(m_Sequence % 5)},
+                                     m_Sequence,
+                                     {{kOrganisation, Waiting, Ahead}}}});
+    collect(Leader);
+  }
+
+  void collect(size_t Leader) {
+    std::vector<Message> &Sent = m_Sim.m_Controls[Leader].m_ToProxies;
+    for (const Message &Message : Sent)
+      if (const TokenGrant *Grant = std::get_if<TokenGrant>(&Message))
+        take(Leader, *Grant);
+    Sent.clear();
+  }
+
+  const std::vector<Time> &uses() const { return m_Uses; }
+
+private:
+  void take(size_t Leader, const TokenGrant &Grant) {
+    Time AskedAt = m_AskedAt.at(Grant.m_Sequence);
+    for (const TokenLoan &Loan : Grant.m_Loans)
+      for (uint32_t Token = 0; Token < Loan.m_Tokens; ++Token) {
+        if (m_Random() % 4 == 0) {
+          m_Sim.handle(Leader, MessageReceived{Simulation::kProxyLink,
+                                               TokenReturn{Grant.m_LeaderTerm,
+                                                           kOrganisation, 1}});
+          continue;
+        }
+        Time Until = AskedAt + milliseconds(Loan.m_ValidityMs);
+        if (Until < m_Sim.m_Now)
+          continue;
+        // The end of the validity is the worst case.
+        m_Uses.push_back(m_Random() % 2 == 0 ? Until : m_Sim.m_Now);
+      }
+  }
+
+  Simulation &m_Sim;
+  std::mt19937_64 m_Random;
+  uint64_t m_Sequence = 0;
+  std::map<uint64_t, Time> m_AskedAt;
+  std::vector<Time> m_Uses;
+};
+
+void checkWindows(std::vector<Time> Uses, const Limit &Limit) {
+  std::sort(Uses.begin(), Uses.end());
+  REQUIRE(!Uses.empty());
+  double WorstExcess = -1e9;
+  for (size_t First = 0; First < Uses.size(); ++First)
+    for (size_t Last = First; Last < Uses.size(); ++Last) {
+      double Seconds =
+          std::chrono::duration<double>(Uses[Last] - Uses[First]).count();
+      double Allowed = Limit.m_Burst + Limit.m_RatePerSecond * Seconds;
+      WorstExcess = std::max(WorstExcess,
+                             static_cast<double>(Last - First + 1) - Allowed);
+    }
+  CHECK(WorstExcess <= 1e-6);
+}
+
+void setLimit(Simulation &Sim, const Limit &Limit, PresetKind Kind,
+              const std::string &Id) {
+  DefinePreset Define;
+  Define.m_Kind = Kind;
+  Define.m_Preset.m_DefaultLimit = Limit;
+  REQUIRE(Sim.change(Define, Id).m_Accepted);
+}
+
+} // namespace
+
+TEST_CASE("control: random asks and returns never get more than burst + rate x "
+          "window, also across leader changes") {
+  for (uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed);
+    Simulation Sim(3);
+    REQUIRE(Sim.awaitVoters(3));
+    REQUIRE(Sim.change(CreateOrganisation{kOrganisation}, "c").m_Accepted);
+    Limit Limit{20.0 + static_cast<double>(Random() % 200), 0};
+    Limit.m_Burst = 1 + Limit.m_RatePerSecond *
+                            (0.05 + static_cast<double>(Random() % 100) / 100);
+    setLimit(Sim, Limit, PresetKind::Ordinary, "p");
+    Borrower Proxies(Sim, Seed);
+    for (int Step = 0; Step < 1'500; ++Step) {
+      // Idle times fill the bucket, so that bursts are part of the run.
+      if (Step % 300 == 299)
+        Sim.run(milliseconds(Random() % 1'500));
+      if (Step % 500 == 250) {
+        size_t Old = *Sim.leader();
+        Sim.stop(Old);
+        Sim.start(Old);
+        REQUIRE(Sim.runUntil([&] { return Sim.leader().has_value(); }));
+      }
+      Sim.run(milliseconds(1 + Random() % 5));
+      if (!Sim.leader())
+        continue;
+      Proxies.ask(*Sim.leader(), static_cast<uint32_t>(Random() % 20),
+                  static_cast<uint32_t>(Random() % 10));
+      Proxies.collect(*Sim.leader());
+    }
+    checkWindows(Proxies.uses(), Limit);
+  }
+}
+
+TEST_CASE("control: a change to a smaller preset leaves at most the new depth "
+          "in the bucket") {
+  TokenBucket Bucket{Time{}};
+  Limit Large{100, 1'000};
+  Limit Small{10, 11};
+  Time Now = Time{} + std::chrono::seconds(100);
+  Bucket.refill(Large, Now);
+  CHECK(Bucket.tokens() == doctest::Approx(970));
+  Bucket.refill(Small, Now);
+  CHECK(Bucket.tokens() == doctest::Approx(8));
+  Bucket.refill(Large, Now);
+  CHECK(Bucket.tokens() == doctest::Approx(8));
+}
+
+TEST_CASE("control: a new leader lends nothing at first, an isolated one "
+          "nothing after its lease, and returns of another term count for "
+          "nothing") {
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  REQUIRE(Sim.change(CreateOrganisation{kOrganisation}, "c").m_Accepted);
+  setLimit(Sim, {1, 100}, PresetKind::Ordinary, "p");
+  size_t Old = *Sim.leader();
+  uint64_t OldTerm = Sim.board(Old).m_Term;
+  Sim.m_Controls[Old].m_IsIsolated = true;
+  Sim.run(milliseconds(350));
+  Sim.m_Controls[Old].m_ToProxies.clear();
+  Borrower AtOld(Sim, 1);
+  AtOld.ask(Old, 1, 0);
+  Sim.run(milliseconds(50));
+  AtOld.collect(Old);
+  CHECK(AtOld.uses().empty());
+  REQUIRE(Sim.runUntil([&] { return Sim.leader().has_value(); }));
+  size_t New = *Sim.leader();
+  Sim.handle(New, MessageReceived{Simulation::kProxyLink,
+                                  TokenReturn{OldTerm, kOrganisation, 50}});
+  Borrower AtNew(Sim, 2);
+  AtNew.ask(New, 10, 0);
+  Sim.run(milliseconds(50));
+  AtNew.collect(New);
+  CHECK(AtNew.uses().empty());
+}
+
+TEST_CASE("control: hosts that ask at once share scarce tokens equally, and "
+          "learn when to ask again") {
+  Simulation Sim(1);
+  REQUIRE(Sim.awaitVoters(1));
+  REQUIRE(Sim.change(CreateOrganisation{kOrganisation}, "c").m_Accepted);
+  setLimit(Sim, {10, 21}, PresetKind::Ordinary, "p");
+  Sim.run(std::chrono::seconds(10));
+  Sim.m_Controls[0].m_ToProxies.clear();
+  // The first asks for far more than its share.
+  for (uint32_t Host = 0; Host < 3; ++Host)
+    Sim.handle(0, MessageReceived{Simulation::kProxyLink,
+                                  TokenRequest{{"h" + std::to_string(Host)},
+                                               Host,
+                                               {{kOrganisation,
+                                                 Host == 0 ? 100U : 6U, 0}}}});
+  Sim.run(milliseconds(30));
+  std::vector<TokenLoan> Loans;
+  for (const Message &Message : Sim.m_Controls[0].m_ToProxies)
+    if (const TokenGrant *Grant = std::get_if<TokenGrant>(&Message))
+      Loans.push_back(Grant->m_Loans.at(0));
+  REQUIRE(Loans.size() == 3);
+  CHECK(Loans[0].m_Tokens == 6);
+  CHECK(Loans[1].m_Tokens == 6);
+  CHECK(Loans[2].m_Tokens == 6);
+  CHECK(Loans[0].m_RetryAfterMs > 0);
+  CHECK(Loans[1].m_RetryAfterMs == 0);
+  CHECK(Loans[0].m_ValidityMs == 300);
+}
+
+TEST_CASE("control: a preset whose tokens would expire on the way is refused") {
+  Simulation Sim(1);
+  REQUIRE(Sim.awaitVoters(1));
+  DefinePreset Define;
+  Define.m_Preset.m_DefaultLimit = {100, 5};
+  ChangeOutcome Outcome = Sim.change(Define, "p");
+  REQUIRE(!Outcome.m_Accepted);
+  CHECK(Outcome.m_Error->m_Message.find("burst") != std::string::npos);
+  Define.m_Preset.m_DefaultLimit = {100, 6};
+  CHECK(Sim.change(Define, "q").m_Accepted);
+}
--- /dev/null
+++ b/tests/control/Simulation.h
@@ -0,0 +1,478 @@
+/// \file
+/// Control hosts, database instances and proxies on a manual clock. Every
+/// message can be lost, and every process can stop and start again with what it
+/// had persisted.
+#pragma once
+
+#include "almondpier/StandIn.h"
+#include "decision/control/ControlCore.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace almondpier::controltest {
+
+using std::chrono::milliseconds;
+
+/// What becomes of a request to an instance.
+enum class CallFate : uint8_t { Answered, RequestLost, AnswerLost };
+
+struct SimulatedHost {
+  HostRecord m_Record;
+  bool m_IsUp = true;
+  bool m_IsReady = true;
+  std::vector<InstanceReport> m_Reports;
+};
+
+struct SimulatedInstance {
+  InstanceRecord m_Record;
+  std::unique_ptr<StandInInstance> m_Instance;
+  bool m_IsUp = true;
+};
+
+struct SimulatedControl {
+  ControlMember m_Member;
+  std::unique_ptr<ControlCore> m_Core;
+  PersistedLog m_Disk;
+  uint64_t m_ClusterId = 0;
+  bool m_IsIsolated = false;
+  std::map<OperationId, ReplyToOperation> m_Replies;
+  /// Messages to proxies.
+  std::vector<Message> m_ToProxies;
+  bool m_IsShutDown = false;
+};
+
+class Simulation {
+public:
+  static constexpr LinkId kProxyLink{1'000'000};
+
+  explicit Simulation(size_t ControlHosts) {
+    for (size_t Index = 0; Index < ControlHosts; ++Index)
+      addControl(HostName{"c" + std::to_string(Index)});
+    m_Controls[0].m_Disk = makeInitialLog(m_Controls[0].m_Member);
+    m_Controls[0].m_ClusterId = kClusterId;
+    for (size_t Index = 0; Index < ControlHosts; ++Index)
+      start(Index);
+  }
+
+  size_t addControl(const HostName &Host) {
+    SimulatedControl &Added = m_Controls.emplace_back();
+    uint16_t Port = static_cast<uint16_t>(7'000 + m_Controls.size());
+    Added.m_Member = {MemberId{100 + m_Controls.size()},
+                      Host,
+                      {"z1"},
+                      {"127.0.0.1", Port},
+                      {"127.0.0.2", Port}};
+    return m_Controls.size() - 1;
+  }
+
+  void start(size_t Index) {
+    SimulatedControl &Control = m_Controls[Index];
+    ControlOptions Options;
+    Options.m_Self = Control.m_Member;
+    Options.m_ClusterId = Control.m_ClusterId;
+    Options.m_Log = Control.m_Disk;
+    Options.m_Seed = ++m_Seed;
+    Options.m_JoinPeers = {m_Controls[0].m_Member.m_Peer};
+    Control.m_Core = std::make_unique<ControlCore>(Options, m_Now);
+  }
+
+  void stop(size_t Index) {
+    m_Controls[Index].m_Core.reset();
+    for (auto It = m_Links.begin(); It != m_Links.end();) {
+      if (It->first.first != Index && It->second.first != Index) {
+        ++It;
+        continue;
+      }
+      End Survivor = It->first.first == Index ? It->second : It->first;
+      It = m_Links.erase(It);
+      later([this, Survivor] {
+        handle(Survivor.first, LinkClosed{Survivor.second, "stopped"});
+      });
+    }
+  }
+
+  /// Runs for a time in steps of 1 ms.
+  void run(Duration Time) {
+    for (almondpier::Time End = m_Now + Time; m_Now < End;)
+      step();
+  }
+
+  /// Runs until Condition holds; returns whether it did within Limit.
+  bool runUntil(const std::function<bool()> &Condition,
+                Duration Limit = std::chrono::seconds(20)) {
+    for (Time End = m_Now + Limit; m_Now < End;) {
+      if (Condition())
+        return true;
+      step();
+    }
+    return Condition();
+  }
+
+  void step() {
+    m_Now += milliseconds(1);
+    while (!m_Later.empty() && m_Later.begin()->first <= m_Now) {
+      std::function<void()> Action = std::move(m_Later.begin()->second);
+      m_Later.erase(m_Later.begin());
+      Action();
+    }
+    if (++m_Steps % 10 == 0)
+      for (size_t Index = 0; Index < m_Controls.size(); ++Index)
+        handle(Index, ClockTick{m_Steps});
+    if (m_Steps % 100 == 0)
+      sendHeartbeats();
+    if (m_Steps % 500 == 0 && m_Announces)
+      announceAll();
+  }
+
+  void handle(size_t Index, const ControlEvent &Event) {
+    if (!m_Controls[Index].m_Core)
+      return;
+    ControlActions Actions;
+    m_Controls[Index].m_Core->handle(Event, m_Now, Actions);
+    for (const ControlAction &Action : Actions)
+      std::visit([&](const auto &Value) { carryOut(Index, Value); }, Action);
+    if (m_AfterEvent)
+      m_AfterEvent(Index);
+  }
+
+  std::optional<size_t> leader() const {
+    std::optional<size_t> Found;
+    uint64_t Term = 0;
+    for (size_t Index = 0; Index < m_Controls.size(); ++Index) {
+      const SimulatedControl &Control = m_Controls[Index];
+      if (!Control.m_Core || Control.m_IsIsolated || !board(Index).m_IsLeader ||
+          board(Index).m_Term < Term)
+        continue;
+      Found = Index;
+      Term = board(Index).m_Term;
+    }
+    return Found;
+  }
+
+  const ControlBlackboard &board(size_t Index) const {
+    return m_Controls[Index].m_Core->blackboard();
+  }
+  const Configuration &configuration() const {
+    return board(*leader()).configuration();
+  }
+  const DatabaseRecord *database() const {
+    return leader() ? configuration().findDatabase(kDatabase) : nullptr;
+  }
+
+  /// Waits until every running host knows of so many voters and no learners.
+  bool awaitVoters(size_t Count) {
+    return runUntil([&] {
+      return leader() &&
+             std::all_of(m_Controls.begin(), m_Controls.end(),
+                         [&](const SimulatedControl &Control) {
+                           if (!Control.m_Core)
+                             return true;
+                           const Membership &Members =
+                               Control.m_Core->blackboard().m_Membership;
+                           return Members.m_Voters.size() == Count &&
+                                  Members.m_Learners.empty();
+                         });
+    });
+  }
+
+  // Operators.
+
+  OperationId submit(size_t Index, const Change &Change) {
+    OperationId Id{++m_LastOperation};
+    handle(Index, OperatorChange{Id, Change});
+    return Id;
+  }
+  std::optional<ReplyToOperation> reply(size_t Index, OperationId Id) {
+    auto Found = m_Controls[Index].m_Replies.find(Id);
+    if (Found == m_Controls[Index].m_Replies.end())
+      return std::nullopt;
+    return Found->second;
+  }
+  /// Submits at the leader and waits for the outcome.
+  ChangeOutcome change(const ChangeBody &Body, const std::string &ChangeId) {
+    REQUIRE(runUntil([&] { return leader().has_value(); }));
+    size_t Index = *leader();
+    OperationId Id = submit(Index, Change{ChangeId, configuration().version(),
+                                          "ann", m_Steps, Body});
+    REQUIRE(runUntil([&] { return reply(Index, Id).has_value(); }));
+    REQUIRE(reply(Index, Id)->m_Outcome);
+    return *reply(Index, Id)->m_Outcome;
+  }
+
+  // Databases.
+
+  void addInstance(const std::string &Name, uint32_t GroupSize = 3) {
+    uint16_t Port = static_cast<uint16_t>(8'000 + ++m_InstanceCount);
+    SimulatedInstance &Added = m_Instances[InstanceName{Name}];
+    Added.m_Record.m_Database = kDatabase;
+    Added.m_Record.m_Name = {Name};
+    Added.m_Record.m_Zone = {"z1"};
+    Added.m_Record.m_Statements = {"127.0.0.3", Port};
+    Added.m_Record.m_Platform = {"127.0.0.1", Port};
+    Added.m_Record.m_GroupSize = GroupSize;
+    Added.m_Instance = std::make_unique<StandInInstance>(
+        Added.m_Record.m_Name, [](std::string_view) {});
+  }
+  StandInInstance &instance(const InstanceName &Name) {
+    return *m_Instances.at(Name).m_Instance;
+  }
+  void announceAll() {
+    for (const std::pair<const InstanceName, SimulatedInstance> &Entry :
+         m_Instances)
+      if (Entry.second.m_IsUp && leader())
+        handle(*leader(), InstanceAnnounced{OperationId{++m_LastOperation},
+                                            Entry.second.m_Record, false});
+  }
+  /// Copies the log of the primary to its replicas.
+  void replicate() {
+    for (std::pair<const InstanceName, SimulatedInstance> &Entry :
+         m_Instances) {
+      const std::optional<StandInSource> &Source =
+          Entry.second.m_Instance->source();
+      if (!Source || !Entry.second.m_IsUp)
+        continue;
+      SimulatedInstance &Primary = m_Instances.at(Source->m_Primary);
+      if (Primary.m_IsUp)
+        Entry.second.m_Instance->replicate(
+            Source->m_Term, Primary.m_Instance->entriesAfter(
+                                Entry.second.m_Instance->position(),
+                                Source->m_Term, UINT64_MAX));
+    }
+  }
+  /// Three instances with a first primary, and three hosts that observe them.
+  void startDatabase() {
+    for (const char *Name : {"a", "b", "c"})
+      addInstance(Name);
+    for (const char *Name : {"h1", "h2", "h3"})
+      addHost(Name);
+    m_Announces = true;
+    REQUIRE(runUntil([&] {
+      return database() != nullptr && database()->m_Primary.has_value();
+    }));
+    // Hosts are registered by their polls.
+    for (const std::pair<const HostName, SimulatedHost> &Entry : m_Hosts)
+      poll(*leader(), Entry.first);
+    REQUIRE(runUntil([&] { return configuration().hosts().size() == 3; }));
+    run(milliseconds(1'500));
+  }
+  /// Hosts report the instance as unreachable, as its observers would.
+  void reportLost(const InstanceName &Instance,
+                  const std::vector<std::string> &Hosts) {
+    for (const std::string &Host : Hosts)
+      m_Hosts[HostName{Host}].m_Reports = {
+          InstanceReport{kDatabase, Instance, 450, {}, 0, false}};
+  }
+  void clearReports() {
+    for (std::pair<const HostName, SimulatedHost> &Entry : m_Hosts)
+      Entry.second.m_Reports.clear();
+  }
+  bool awaitPrimaryOtherThan(const InstanceName &Old, uint64_t AfterTerm,
+                             Duration Limit = std::chrono::seconds(20)) {
+    return runUntil(
+        [&] {
+          return database() != nullptr && database()->m_Primary != Old &&
+                 database()->m_PrimaryTerm > AfterTerm &&
+                 database()->m_BegunTerm == database()->m_PrimaryTerm;
+        },
+        Limit);
+  }
+
+  // Proxies.
+
+  void addHost(const std::string &Name) {
+    uint16_t Port = static_cast<uint16_t>(9'000 + m_Hosts.size());
+    m_Hosts[HostName{Name}].m_Record = {
+        {Name}, {"z-" + Name}, {"127.0.0.1", Port}};
+  }
+  void sendHeartbeats() {
+    for (const std::pair<const HostName, SimulatedHost> &Entry : m_Hosts)
+      if (Entry.second.m_IsUp)
+        for (size_t Index = 0; Index < m_Controls.size(); ++Index)
+          if (!m_Controls[Index].m_IsIsolated)
+            handle(Index, DatagramReceived{{},
+                                           Heartbeat{Entry.first,
+                                                     Entry.second.m_IsReady, 0,
+                                                     Entry.second.m_Reports}});
+  }
+  void poll(size_t Index, const HostName &Host, uint64_t Applied = 0) {
+    handle(Index,
+           MessageReceived{kProxyLink,
+                           PollRequest{m_Hosts[Host].m_Record, 1,
+                                       ++m_PollSequence, Applied, 0, 0}});
+  }
+  /// The answer to the last poll.
+  const PollReply *lastPollReply(size_t Index) const {
+    const std::vector<Message> &Sent = m_Controls[Index].m_ToProxies;
+    for (auto It = Sent.rbegin(); It != Sent.rend(); ++It)
+      if (const PollReply *Reply = std::get_if<PollReply>(&*It))
+        if (Reply->m_Sequence == m_PollSequence)
+          return Reply;
+    return nullptr;
+  }
+
+  static inline const DatabaseName kDatabase{"races"};
+  static constexpr uint64_t kClusterId = 77;
+
+  Time m_Now{std::chrono::hours(1)};
+  std::deque<SimulatedControl> m_Controls;
+  std::map<InstanceName, SimulatedInstance> m_Instances;
+  std::map<HostName, SimulatedHost> m_Hosts;
+  /// Decides about a request to an instance; all are answered when not set.
+  std::function<CallFate(size_t Control, const CallInstance &)> m_CallFate;
+  std::function<void(size_t Control)> m_AfterEvent;
+  bool m_Announces = false;
+  /// Successful promotions: instances by term.
+  std::map<uint64_t, std::set<InstanceName>> m_Promoted;
+
+private:
+  using End = std::pair<size_t, LinkId>;
+
+  void later(std::function<void()> Action, Duration After = milliseconds(1)) {
+    m_Later.emplace(m_Now + After, std::move(Action));
+  }
+
+  bool isReachable(size_t From, size_t To) const {
+    return m_Controls[To].m_Core && !m_Controls[From].m_IsIsolated &&
+           !m_Controls[To].m_IsIsolated;
+  }
+
+  void carryOut(size_t Index, const PersistLog &Action) {
+    PersistedLog &Disk = m_Controls[Index].m_Disk;
+    if (Action.m_HardState)
+      Disk.m_HardState = *Action.m_HardState;
+    if (Action.m_InstalledSnapshot) {
+      Disk.m_Snapshot = *Action.m_InstalledSnapshot;
+      Disk.m_Entries.clear();
+    }
+    for (const LogEntry &Entry : Action.m_Entries) {
+      while (!Disk.m_Entries.empty() &&
+             Disk.m_Entries.back().m_Index >= Entry.m_Index)
+        Disk.m_Entries.pop_back();
+      Disk.m_Entries.push_back(Entry);
+    }
+  }
+  void carryOut(size_t Index, const PersistSnapshot &Action) {
+    PersistedLog &Disk = m_Controls[Index].m_Disk;
+    Disk.m_Snapshot = Action.m_Snapshot;
+    std::erase_if(Disk.m_Entries, [&](const LogEntry &Entry) {
+      return Entry.m_Index <= Action.m_Snapshot.m_Index;
+    });
+  }
+  void carryOut(size_t Index, const PersistCluster &Action) {
+    m_Controls[Index].m_ClusterId = Action.m_ClusterId;
+  }
+  void carryOut(size_t Index, const ReplyToOperation &Action) {
+    // Every operation is answered at most once.
+    REQUIRE(m_Controls[Index].m_Replies.emplace(Action.m_Id, Action).second);
+  }
+  void carryOut(size_t Index, const OpenLink &Action) {
+    later([this, Index, Action] {
+      for (size_t Other = 0; Other < m_Controls.size(); ++Other) {
+        if (m_Controls[Other].m_Member.m_Peer != Action.m_Peer ||
+            !isReachable(Index, Other) || !m_Controls[Index].m_Core)
+          continue;
+        m_LastAccepted += 2;
+        End Near{Index, Action.m_Link};
+        End Far{Other, LinkId{m_LastAccepted}};
+        m_Links[Near] = Far;
+        m_Links[Far] = Near;
+        handle(Other, LinkOpened{Far.second});
+        handle(Index, LinkOpened{Near.second});
+        return;
+      }
+      handle(Index, LinkClosed{Action.m_Link, "unreachable"});
+    });
+  }
+  void carryOut(size_t Index, const CloseLink &Action) {
+    auto Found = m_Links.find(End{Index, Action.m_Link});
+    if (Found == m_Links.end())
+      return;
+    End Far = Found->second;
+    m_Links.erase(Found);
+    m_Links.erase(Far);
+    later([this, Far] { handle(Far.first, LinkClosed{Far.second, "closed"}); });
+  }
+  void carryOut(size_t Index, const SendMessage &Action) {
+    if (Action.m_Link == kProxyLink) {
+      m_Controls[Index].m_ToProxies.push_back(Action.m_Message);
+      return;
+    }
+    auto Found = m_Links.find(End{Index, Action.m_Link});
+    if (Found == m_Links.end())
+      return;
+    End Far = Found->second;
+    later([this, Index, Far, Sent = Action.m_Message] {
+      if (isReachable(Index, Far.first) && m_Links.contains(Far))
+        handle(Far.first, MessageReceived{Far.second, Sent});
+    });
+  }
+  void carryOut(size_t Index, const CallInstance &Action) {
+    CallFate Fate = m_CallFate ? m_CallFate(Index, Action) : CallFate::Answered;
+    SimulatedInstance *Target = nullptr;
+    for (std::pair<const InstanceName, SimulatedInstance> &Entry : m_Instances)
+      if (Entry.second.m_Record.m_Platform == Action.m_Platform)
+        Target = &Entry.second;
+    if (m_Controls[Index].m_IsIsolated || Target == nullptr ||
+        !Target->m_IsUp || Fate == CallFate::RequestLost) {
+      later(
+          [this, Index, Action] {
+            handle(Index, InstanceCallAnswered{Action.m_Call, 0, {}, {}});
+          },
+          milliseconds(Action.m_TimeoutMs));
+      return;
+    }
+    later([this, Index, Action, Target, Fate] {
+      InstanceCallAnswered Answer = execute(Action, *Target);
+      bool IsLost = Fate == CallFate::AnswerLost;
+      if (IsLost)
+        Answer = InstanceCallAnswered{Action.m_Call, 0, {}, {}};
+      later([this, Index, Answer] { handle(Index, Answer); },
+            IsLost ? milliseconds(Action.m_TimeoutMs) : milliseconds(1));
+    });
+  }
+  InstanceCallAnswered execute(const CallInstance &Call,
+                               SimulatedInstance &Target) {
+    StandInInstance &Instance = *Target.m_Instance;
+    InstanceCallAnswered Answer{Call.m_Call, 200, {}, {}};
+    if (Call.m_Kind == InstanceCallKind::Promote) {
+      Answer.m_StartIndex = Instance.promote(Call.m_Term);
+      if (Answer.m_StartIndex)
+        m_Promoted[Call.m_Term].insert(Target.m_Record.m_Name);
+      else
+        Answer.m_HttpStatus = 409;
+      return Answer;
+    }
+    bool IsGood = true;
+    if (Call.m_Kind == InstanceCallKind::Seal)
+      IsGood = Instance.seal(Call.m_Term);
+    if (Call.m_Kind == InstanceCallKind::Follow)
+      IsGood = Instance.follow(
+          StandInSource{Call.m_Term, Call.m_Primary, Call.m_PrimaryPlatform});
+    StandInStatus Status = Instance.status();
+    Answer.m_HttpStatus = IsGood ? 200 : 409;
+    if (IsGood)
+      Answer.m_Status = InstanceStatus{Status.m_Instance, Status.m_Position,
+                                       Status.m_SealedTerm,
+                                       Status.m_Role == StandInRole::Primary};
+    return Answer;
+  }
+  static void carryOut(size_t /*Index*/, const ReportStateChange & /*Action*/) {
+  }
+  void carryOut(size_t Index, const ShutdownComplete & /*Action*/) {
+    m_Controls[Index].m_IsShutDown = true;
+  }
+
+  uint64_t m_Steps = 0;
+  uint64_t m_Seed = 0;
+  uint64_t m_LastOperation = 0;
+  uint64_t m_LastAccepted = 0;
+  uint64_t m_PollSequence = 0;
+  uint16_t m_InstanceCount = 0;
+  std::multimap<Time, std::function<void()>> m_Later;
+  std::map<End, End> m_Links;
+};
+
+} // namespace almondpier::controltest
