--- a/tests/control/AllocatorTest.cpp
+++ b/tests/control/AllocatorTest.cpp
@@ -94,6 +94,48 @@
 
 } // namespace
 
+TEST_CASE("control: a bucket whose borrowers use, hold and give back tokens at "
+          "the worst moments lends no more than burst + rate x window") {
+  struct Held {
+    Time m_Until;
+    uint32_t m_Tokens = 0;
+  };
+  for (uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed);
+    Limit Limit{50, 1 + 50 * (0.05 + static_cast<double>(Random() % 80) / 100)};
+    Duration Validity = lendingTermsOf(Limit).m_Validity;
+    TokenBucket Bucket{Time{}};
+    Time Now{};
+    std::vector<Time> Uses;
+    std::vector<Held> Loans;
+    for (int Step = 0; Step < 400; ++Step) {
+      // Several borrowers often act at the same moment.
+      if (Random() % 3 == 0)
+        Now += Random() % 4 == 0
+                   ? 4 * Validity
+                   : Validity / static_cast<int64_t>(1 + Random() % 3);
+      // What was not given back is used at the last moment.
+      std::erase_if(Loans, [&](const Held &Loan) {
+        if (Loan.m_Until >= Now)
+          return false;
+        Uses.insert(Uses.end(), Loan.m_Tokens, Loan.m_Until);
+        return true;
+      });
+      Bucket.refill(Limit, Now);
+      if (Random() % 4 == 0 && !Loans.empty()) {
+        Bucket.giveBack(Loans.front().m_Tokens, Now);
+        Loans.erase(Loans.begin());
+        continue;
+      }
+      uint32_t Wanted = Random() % 2 == 0 ? 1'000 : 1 + Random() % 20;
+      if (uint32_t Lent = Bucket.lend(Wanted, Now); Lent > 0)
+        Loans.push_back(Held{Now + Validity, Lent});
+    }
+    checkWindows(Uses, Limit);
+  }
+}
+
 TEST_CASE("control: random asks and returns never get more than burst + rate x "
           "window, also across leader changes") {
   for (uint64_t Seed = 1; Seed <= 12; ++Seed) {
@@ -151,6 +193,9 @@
   setLimit(Sim, {1, 100}, PresetKind::Ordinary, "p");
   size_t Old = *Sim.leader();
   uint64_t OldTerm = Sim.board(Old).m_Term;
+  Borrower Before(Sim, 4);
+  Before.ask(Old, 1, 0);
+  Sim.run(milliseconds(20));
   Sim.m_Controls[Old].m_IsIsolated = true;
   Sim.run(milliseconds(350));
   Sim.m_Controls[Old].m_ToProxies.clear();
@@ -168,6 +213,23 @@
   Sim.run(milliseconds(50));
   AtNew.collect(New);
   CHECK(AtNew.uses().empty());
+  // The old one leads again, with the bucket that it kept long ago.
+  Sim.m_Controls[Old].m_IsIsolated = false;
+  Sim.run(std::chrono::seconds(30));
+  while (*Sim.leader() != Old) {
+    size_t Other = *Sim.leader();
+    Sim.m_Controls[Other].m_IsIsolated = true;
+    REQUIRE(Sim.runUntil([&] { return Sim.leader().has_value(); }));
+    Sim.m_Controls[Other].m_IsIsolated = false;
+    Sim.run(std::chrono::seconds(2));
+  }
+  REQUIRE(Sim.m_Now - Sim.board(Old).m_LeaderSince < std::chrono::seconds(3));
+  Sim.m_Controls[Old].m_ToProxies.clear();
+  Borrower Again(Sim, 3);
+  Again.ask(Old, 50, 0);
+  Sim.run(milliseconds(20));
+  Again.collect(Old);
+  CHECK(Again.uses().size() <= 3);
 }
 
 TEST_CASE("control: hosts that ask at once share scarce tokens equally, and "
