--- a/src/decision/control/FailoverController.cpp
+++ b/src/decision/control/FailoverController.cpp
@@ -27,6 +27,7 @@
   m_Calls.clear();
   m_Groups.clear();
   m_Followers.clear();
+  m_Spares.clear();
   m_DrainSince.clear();
   m_MovedAt.clear();
   m_RoleLostSince.clear();
@@ -45,11 +46,20 @@
   auto Group = m_Groups.find(Call->m_Database);
   const DatabaseRecord *Record =
       m_Board.configuration().findDatabase(Call->m_Database);
+  if (Call->m_Kind == InstanceCallKind::Status && Record != nullptr)
+    m_Spares[Call->m_Database].onAnswered(*Call, Event, *Record, Context);
   if (Group == m_Groups.end() || Record == nullptr)
     return;
   Group->second->onAnswered(*Call, Event, Context);
   // The next step starts without waiting for the clock.
-  Group->second->tick(*Record, m_Calls, Context);
+  advance(*Group->second, Call->m_Database, *Record, Context);
+}
+
+void FailoverController::advance(GroupFailover &Group, const DatabaseName &Name,
+                                 const DatabaseRecord &Record,
+                                 ControlContext &Context) {
+  Group.tick(Record, m_Calls, Context);
+  m_Board.m_FailoverSteps[Name] = nameOf(Group.step());
 }
 
 void FailoverController::tick(ControlContext &Context) {
@@ -81,8 +91,7 @@
                                            ControlContext &Context) {
   auto Group = m_Groups.find(Name);
   if (Group != m_Groups.end()) {
-    Group->second->tick(Record, m_Calls, Context);
-    m_Board.m_FailoverSteps[Name] = nameOf(Group->second->step());
+    advance(*Group->second, Name, Record, Context);
     if (Group->second->step() != GroupFailover::Step::Done)
       return;
     finish(*Group->second, Context);
@@ -97,6 +106,7 @@
     for (const HostReport &Report : Reports->second)
       Followers.onDisagreement(Report.m_Report->m_Instance);
   Followers.tick(Name, Record, m_Calls, Context);
+  m_Spares[Name].tick(Name, Record, m_Calls, Context);
 }
 
 std::optional<std::string>
@@ -198,8 +208,8 @@
   m_RoleLostSince.erase(Name);
   m_Groups[Name] = std::make_unique<GroupFailover>(
       Name, Reason, detectionTime(Name), Context.m_Now);
-  m_Groups[Name]->tick(*m_Board.configuration().findDatabase(Name), m_Calls,
-                       Context);
+  advance(*m_Groups[Name], Name, *m_Board.configuration().findDatabase(Name),
+          Context);
 }
 
 void FailoverController::finish(const GroupFailover &Group,
