--- a/tests/owner/FailoverTest.cpp
+++ b/tests/owner/FailoverTest.cpp
@@ -179,6 +179,39 @@
   CHECK(Result.m_Instance == *Sim.record().m_Primary);
 }
 
+TEST_CASE("a former primary that nobody follows does not prove that its data "
+          "is fresh") {
+  Simulation Sim({});
+  Sim.run(milliseconds(500));
+  AdmittedRequest Read = Sim.request(RequestKind::Read, "r", 100);
+  Read.m_Requirement.m_MaxAgeMs = 300;
+  REQUIRE(errorOf(Sim.call(Read)) == "ok");
+  // i1 still follows i0, and i0 answers, but a majority is in a later term.
+  Sim.m_Owners[0]->m_IsIsolated = true;
+  uint64_t Term = Sim.beginTerm();
+  for (const char *Name : {"i1", "i2"})
+    REQUIRE(Sim.instance(Name).seal(Term));
+  Sim.m_ReplicationCut = {{"i0"}};
+  Sim.run(milliseconds(310));
+  CHECK(errorOf(Sim.call(Read)) != "ok");
+}
+
+TEST_CASE("R3: the connection of a transaction whose caller left before it "
+          "began is not used again") {
+  Simulation Sim({});
+  Sim.run(milliseconds(50));
+  for (int Index = 0; Index < 8; ++Index) {
+    uint64_t Begin = Sim.submit(Sim.request(RequestKind::Begin, ""));
+    Sim.run(microseconds(300));
+    Sim.cancel(Begin);
+    Sim.run(milliseconds(20));
+    CHECK(errorOf(Sim.call(writeOf(Sim, "w" + std::to_string(Index), true))) ==
+          "ok");
+  }
+  CHECK(!Sim.instance("i0").m_HasMixedTransactions);
+  CHECK(Sim.instance("i0").m_Transactions.empty());
+}
+
 TEST_CASE("a new primary is not flooded with what was queued during the "
           "failover") {
   Simulation Sim({});
--- a/tests/owner/FakeInstance.h
+++ b/tests/owner/FakeInstance.h
@@ -73,6 +73,11 @@
   /// Executes a statement that arrived on a connection.
   InstanceAnswer execute(const FakeConnectionKey &Key,
                          const SendStatement &Statement) {
+    bool IsStep = Statement.m_Kind == RequestKind::Execute ||
+                  Statement.m_Kind == RequestKind::Commit ||
+                  Statement.m_Kind == RequestKind::Rollback;
+    if (!IsStep && m_Transactions.contains(Key))
+      m_HasMixedTransactions = true;
     switch (Statement.m_Kind) {
     case RequestKind::Read:
       if (Statement.m_Term != 0 && !isPrimaryIn(Statement.m_Term))
@@ -113,7 +118,8 @@
   std::map<FakeConnectionKey, FakeTransaction> m_Transactions;
   /// Statements that changed data or ran in a transaction.
   std::set<std::string> m_Executed;
-  /// Set when one transaction got statements of two callers.
+  /// Set when one transaction got statements of two callers, or another request
+  /// came on its connection.
   bool m_HasMixedTransactions = false;
 
 private:
