--- /dev/null
+++ b/src/decision/proxy/OwnershipController.h
@@ -0,0 +1,30 @@
+/// \file
+/// Chooses the hosts that own and observe each database.
+#pragma once
+
+#include "decision/HostRanking.h"
+#include "decision/proxy/ProxyEvents.h"
+
+namespace almondpier {
+
+class OwnershipController {
+public:
+  OwnershipController(const HostName &Host, ProxyBlackboard &Board)
+      : m_Host(Host), m_Board(Board) {}
+
+  /// The configuration or the live hosts changed.
+  void update();
+  bool isCandidate(const DatabaseName &Database) const;
+  /// Where a host takes forwarded requests; null when it is not known.
+  const HostRecord *recordOf(const HostName &Host) const;
+  bool isLive(const HostName &Host) const;
+
+private:
+  HostName m_Host;
+  ProxyBlackboard &m_Board;
+  /// Input of the last ranking, which is costly for many databases.
+  std::vector<RankedHost> m_RankedHosts;
+  std::vector<DatabaseName> m_RankedDatabases;
+};
+
+} // namespace almondpier
