Refuse the outcome of another statement in the stand-in

A proxy that lost the answer to a write looks its outcome up by the request identifier. When that identifier was used before with another statement, the lookup would pass off the older outcome as that of the write. The lookup already carries the digest of the statement; the instance now checks it.

--- a/include/almondpier/StandIn.h
+++ b/include/almondpier/StandIn.h
@@ -121,9 +121,11 @@
   StandInAnswer rollback(uint64_t Connection);
   /// Rolls back the transaction of a closed connection.
   void forgetConnection(uint64_t Connection);
-  /// With Term, refuses unless this is the primary of that term.
+  /// With Term, refuses unless this is the primary of that term. With Digest,
+  /// refuses an outcome recorded for another statement.
   StandInAnswer outcome(std::optional<uint64_t> Term,
-                        const std::string &RequestId) const;
+                        const std::string &RequestId,
+                        const std::string &Digest = {}) const;
 
   // Platform endpoint.
 
--- a/src/standin/Instance.cpp
+++ b/src/standin/Instance.cpp
@@ -218,7 +218,8 @@
 }
 
 StandInAnswer StandInInstance::outcome(std::optional<uint64_t> Term,
-                                       const std::string &RequestId) const {
+                                       const std::string &RequestId,
+                                       const std::string &Digest) const {
   if (Term)
     if (std::optional<StandInAnswer> Refusal = refusalOf(*Term))
       return *Refusal;
@@ -226,7 +227,8 @@
   if (Known == m_Outcomes.end())
     return refuse(404, "no outcome is recorded for this request identifier");
   const StandInEntry &Entry = m_Log.at(Known->second - 1);
-  return StandInAnswer{200, Entry.m_Result, Entry.m_Position, Ran::Yes, false};
+  return *knownOutcome(RequestId,
+                       Digest.empty() ? Entry.m_StatementDigest : Digest);
 }
 
 // Terms.
--- a/src/standin/StatementEndpoint.cpp
+++ b/src/standin/StatementEndpoint.cpp
@@ -90,10 +90,11 @@
   std::string RequestId(Request.header("Request-Id"));
   std::string Digest(Request.header("Statement-Digest"));
   if (Request.m_Method == HttpMethod::Get)
-    return Request.m_Path == "/outcome" ? Work([&Instance, Term, RequestId] {
-      return Instance.outcome(Term, RequestId);
-    })
-                                        : Work();
+    return Request.m_Path == "/outcome"
+               ? Work([&Instance, Term, RequestId, Digest] {
+                   return Instance.outcome(Term, RequestId, Digest);
+                 })
+               : Work();
   if (Request.m_Path == "/read")
     return [&Instance, Term, Body = Request.m_Body] {
       return Instance.read(Term, Body);
--- a/tests/standin/InstanceTest.cpp
+++ b/tests/standin/InstanceTest.cpp
@@ -167,6 +167,9 @@
   StandInAnswer Other = Second.m_Instance.write(
       2, statement("append", "list", 8), "o/1", "other");
   CHECK(Other.m_IsMismatch);
+  // A proxy that lost the answer to a write must not take the outcome of
+  // another statement for its own.
+  CHECK(Second.m_Instance.outcome(2, "o/1", "other").m_IsMismatch);
   CHECK(Other.m_Ran == Ran::No);
 }
 
