Borrow twice as many tokens ahead when they ran out

A caller that begins to send one request after the other waited 20 ms for each of many tokens: use was measured at the end of windows of 100 ms, so asks named few tokens, and asks are at least 20 ms apart.

In the test with a manual clock 38 waits before, 16 after.

--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -23,6 +23,7 @@
 // Tokens are borrowed ahead for the use expected in this time.
 static constexpr double kAheadSeconds = 0.1;
 static constexpr uint32_t kMaxTokensPerAsk = 100'000;
+static constexpr uint32_t kMaxBurstTarget = 10'000;
 
 TokenController::TokenController(const HostName &Host, LinkTable &Links,
                                  ProxyActions &Actions)
@@ -245,6 +246,7 @@
     Account.m_Loans.clear();
     Account.m_UsePerSecond = 0;
     Account.m_UsedInWindow = 0;
+    Account.m_BurstTarget /= 2;
   }
 }
 
@@ -262,6 +264,7 @@
     if (Account.m_UsePerSecond < kForgotten)
       Account.m_UsePerSecond = 0;
     Account.m_UsedInWindow = 0;
+    Account.m_BurstTarget /= 2;
   }
 }
 
@@ -271,8 +274,18 @@
   if (Now < Account.m_NextAskAt)
     return std::nullopt;
   uint32_t Waiting = static_cast<uint32_t>(Account.m_Waiters.size());
-  uint32_t Wanted = static_cast<uint32_t>(std::min<double>(
-      std::floor(Account.m_UsePerSecond * kAheadSeconds), kMaxTokensPerAsk));
+  bool IsLeaderShort = Account.m_ShortAskSentAt &&
+                       Now - *Account.m_ShortAskSentAt <= kRecentAnswer;
+  // Running dry means that all that was borrowed ahead is used, so twice as
+  // much is wanted. Use measured over a window follows a burst too slowly.
+  if (IsLeaderShort)
+    Account.m_BurstTarget = 0;
+  else if (Waiting > Account.m_AskedWaiting)
+    Account.m_BurstTarget =
+        std::min(std::max(2 * Account.m_BurstTarget, Waiting), kMaxBurstTarget);
+  double UseTarget = std::floor(Account.m_UsePerSecond * kAheadSeconds);
+  uint32_t Wanted = static_cast<uint32_t>(
+      std::clamp<double>(UseTarget, Account.m_BurstTarget, kMaxTokensPerAsk));
   uint32_t InHand = available(Account, Now) + Account.m_AskedAhead;
   TokenAsk Ask{Organisation, 0, 0};
   if (Waiting > Account.m_AskedWaiting)
--- a/src/decision/proxy/TokenController.h
+++ b/src/decision/proxy/TokenController.h
@@ -78,6 +78,8 @@
     uint32_t m_RetryAfterMs = 0;
     uint32_t m_UsedInWindow = 0;
     double m_UsePerSecond = 0;
+    /// Wanted ahead after the tokens ran out; decays when they last.
+    uint32_t m_BurstTarget = 0;
   };
   struct Outstanding {
     Time m_SentAt;
--- a/tests/proxy/TokenControllerTest.cpp
+++ b/tests/proxy/TokenControllerTest.cpp
@@ -241,3 +241,27 @@
   Host.run(seconds(1));
   CHECK(Host.takeRequests().empty());
 }
+
+TEST_CASE("tokens: a caller that begins to send one request after the other "
+          "waits for few of them; guards against one wait a token") {
+  Borrower Host;
+  constexpr int kRequests = 1'000;
+  int Waits = 0;
+  for (int Number = 0; Number < kRequests; ++Number) {
+    Host.m_Now += milliseconds(1);
+    if (Host.take())
+      continue;
+    ++Waits;
+    Host.wait(1);
+    while (Host.m_Tokens.takeServable(Host.m_Now).empty()) {
+      Host.run(milliseconds(5));
+      for (const TokenRequest &Request : Host.takeRequests())
+        Host.grant(Request, Request.m_Asks.at(0).m_Waiting +
+                                Request.m_Asks.at(0).m_Ahead);
+    }
+    CHECK(Host.m_Tokens.takeForWaiter(Host.m_Organisation, Host.m_Now));
+  }
+  constexpr int kMaxWaits = 20;
+  CHECK(Waits <= kMaxWaits);
+  MESSAGE("waits: " << Waits);
+}
