--- a/src/decision/control/FailoverController.h
+++ b/src/decision/control/FailoverController.h
@@ -2,7 +2,7 @@
 /// Changes of primary, one state machine per database.
 #pragma once
 
-#include "decision/control/GroupFailover.h"
+#include "decision/control/SpareAdmission.h"
 
 #include <memory>
 
@@ -38,6 +38,8 @@
                                            Time Now);
   bool isPrimaryLost(const DatabaseName &Name, const DatabaseRecord &Record,
                      Time Now);
+  void advance(GroupFailover &Group, const DatabaseName &Name,
+               const DatabaseRecord &Record, ControlContext &Context);
   Duration detectionTime(const DatabaseName &Name) const;
   void start(const DatabaseName &Name, const std::string &Reason,
              ControlContext &Context);
@@ -48,6 +50,7 @@
   InstanceCalls m_Calls;
   std::map<DatabaseName, std::unique_ptr<GroupFailover>> m_Groups;
   std::map<DatabaseName, FollowSupervisor> m_Followers;
+  std::map<DatabaseName, SpareAdmission> m_Spares;
   /// When the drain of a primary was first seen, and when a move was last
   /// tried.
   std::map<DatabaseName, Time> m_DrainSince;
