--- a/src/decision/proxy/AdmissionController.cpp
+++ b/src/decision/proxy/AdmissionController.cpp
@@ -1,5 +1,7 @@
 #include "decision/proxy/AdmissionController.h"
 
+#include "decision/proxy/RequestTraits.h"
+
 #include <algorithm>
 
 namespace almondpier {
@@ -21,11 +23,6 @@
       m_Actions(Actions), m_SessionCodec(FleetSecret),
       m_TransactionCodec(FleetSecret) {}
 
-static bool isTransactionStep(RequestKind Kind) {
-  return Kind == RequestKind::Execute || Kind == RequestKind::Commit ||
-         Kind == RequestKind::Rollback;
-}
-
 void AdmissionController::submit(const CallerRequest &Request, Time Now) {
   ++m_Arrived;
   if (m_RefusesNewWork && !isTransactionStep(Request.m_Kind)) {
--- a/src/decision/proxy/ForwardingController.cpp
+++ b/src/decision/proxy/ForwardingController.cpp
@@ -1,6 +1,7 @@
 #include "decision/proxy/ForwardingController.h"
 
 #include "decision/Invariant.h"
+#include "decision/proxy/RequestTraits.h"
 
 #include <algorithm>
 
@@ -40,16 +41,6 @@
   route(Id, Entry, Now);
 }
 
-static bool isTransactionStep(RequestKind Kind) {
-  return Kind == RequestKind::Execute || Kind == RequestKind::Commit ||
-         Kind == RequestKind::Rollback;
-}
-
-/// Reading again changes nothing.
-static bool isRepeatable(RequestKind Kind) {
-  return Kind == RequestKind::Read || Kind == RequestKind::Outcome;
-}
-
 void ForwardingController::route(CallerRequestId Id, InFlight &Entry,
                                  Time Now) {
   m_Waiting.insert(Id.m_Value);
--- /dev/null
+++ b/src/decision/proxy/RequestTraits.h
@@ -0,0 +1,20 @@
+/// \file
+/// What the kind of a request says about its execution.
+#pragma once
+
+#include "almondpier/Messages.h"
+
+namespace almondpier {
+
+/// A statement, commit or rollback of a transaction that was begun before.
+inline bool isTransactionStep(RequestKind Kind) {
+  return Kind == RequestKind::Execute || Kind == RequestKind::Commit ||
+         Kind == RequestKind::Rollback;
+}
+
+/// Executing the request again changes nothing.
+inline bool isRepeatable(RequestKind Kind) {
+  return Kind == RequestKind::Read || Kind == RequestKind::Outcome;
+}
+
+} // namespace almondpier
--- a/src/proxy/CallerRoutes.cpp
+++ b/src/proxy/CallerRoutes.cpp
@@ -95,7 +95,7 @@
     throwUnknownRoute();
   CallerRequest Result;
   Result.m_Id = CallerRequestId{Request.m_Id.m_Value};
-  // The route is parsed first, since only a Outcome has its key there.
+  // The route of an outcome names its Idempotency-Key.
   parseRoute(splitPath(Request.m_Path.substr(kPrefix.size())), Request.m_Method,
              Result);
   if (Request.m_Body.size() > kMaxCallerBodyBytes)
