--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -95,6 +95,10 @@
     Options.m_Self =
         ControlMember{m_Store.memberId(), m_Settings.m_Host, m_Settings.m_Zone,
                       m_Settings.m_Peer, m_Settings.m_Operations};
+    if (m_Settings.m_Bootstrap && !m_Settings.m_Join.empty())
+      throw Error(ErrorKind::BadRequest,
+                  "--bootstrap forms a new cluster and --join enters one; give "
+                  "only one of them");
     if (m_Settings.m_Bootstrap && m_Store.clusterId() == 0)
       m_Store.bootstrap(Options.m_Self);
     Options.m_Log = m_Store.takeLog();
--- a/src/operations/ChangeBodies.cpp
+++ b/src/operations/ChangeBodies.cpp
@@ -105,7 +105,7 @@
 
 void checkWords(const std::vector<std::string> &Words,
                 const OperationsOptions &Options) {
-  const std::map<std::string, size_t> kWordsOfVerb{
+  const std::map<std::string, size_t> WordsOfVerb{
       {"organisations create", 3},
       {"organisations remove", 3},
       {"keys issue", 3},
@@ -117,8 +117,8 @@
       {"databases remove-instance", 4},
       {"hosts remove", 3}};
   std::string Verb = verbOf(Words);
-  auto Found = kWordsOfVerb.find(Verb);
-  if (Found == kWordsOfVerb.end())
+  auto Found = WordsOfVerb.find(Verb);
+  if (Found == WordsOfVerb.end())
     throw UsageError(Verb.empty() ? "a command is missing"
                                   : "'" + Verb + "' is not a command");
   bool HasKeyId = Verb == "keys issue" && Words.size() == 4;
--- a/tests/control/HostRankingTest.cpp
+++ b/tests/control/HostRankingTest.cpp
@@ -10,6 +10,7 @@
 
 std::vector<RankedHost> makeHosts(int Count, int Zones) {
   std::vector<RankedHost> Hosts;
+  Hosts.reserve(static_cast<size_t>(Count));
   for (int Index = 0; Index < Count; ++Index)
     Hosts.push_back(RankedHost{{"host-" + std::to_string(Index)},
                                {"zone-" + std::to_string(Index % Zones)}});
