--- a/tests/owner/FailoverTest.cpp
+++ b/tests/owner/FailoverTest.cpp
@@ -118,6 +118,37 @@
   }
 }
 
+TEST_CASE("a lost answer is not replaced by the outcome of another statement "
+          "with the same identifier") {
+  Simulation Sim({});
+  Sim.run(milliseconds(50));
+  AdmittedRequest First = writeOf(Sim, "w", true);
+  CHECK(errorOf(Sim.call(First)) == "ok");
+  AdmittedRequest Second = First;
+  Second.m_Statement = "v";
+  uint64_t Write = Sim.submit(Second);
+  Sim.run(microseconds(600));
+  Sim.kill("i0");
+  Sim.restart("i0");
+  REQUIRE(Sim.failOver());
+  CHECK(errorOf(Sim.finish(Write)) == "outcome_unknown/unknown");
+}
+
+TEST_CASE("R2: a primary that was suspended during a failover runs what waited "
+          "for it, and none of it is acknowledged") {
+  Simulation Sim({});
+  Sim.run(milliseconds(50));
+  Sim.stall("i0", milliseconds(700));
+  // It resumes before it hears of the new term.
+  Sim.at(milliseconds(700), [&Sim] { Sim.m_ReplicationCut.insert({"i0"}); });
+  uint64_t Write = Sim.submit(writeOf(Sim, "w", false));
+  Sim.run(milliseconds(100));
+  REQUIRE(Sim.failOver());
+  CHECK(errorOf(Sim.finish(Write)) == "outcome_unknown/unknown");
+  CHECK(!holds(*Sim.primary(), "w"));
+  CHECK(Sim.instance("i0").m_Executed.contains("w"));
+}
+
 TEST_CASE("a write that a replica holds when the primary fails is acknowledged "
           "by the new primary through its identifier") {
   Simulation Sim({});
--- a/tests/owner/RandomOwner.h
+++ b/tests/owner/RandomOwner.h
@@ -315,7 +315,7 @@
     std::string Name = anyInstance();
     Duration Lasts(static_cast<int64_t>(below(1'500'000)));
     size_t Owner = below(2);
-    switch (below(9)) {
+    switch (below(11)) {
     case 0:
       m_Sim.kill(Name);
       m_Sim.at(Lasts, [this, Name] { m_Sim.restart(Name); });
@@ -363,6 +363,12 @@
       m_Sim.m_ControlCut.insert({Name});
       m_Sim.at(Lasts, [this, Name] { m_Sim.m_ControlCut.erase({Name}); });
       break;
+    case 8:
+    case 9:
+      if (chance(50) && m_Sim.primary() != nullptr)
+        Name = m_Sim.primary()->m_Name.m_Value;
+      m_Sim.stall(Name, Lasts);
+      break;
     default:
       m_Sim.resetAny(Owner);
     }
--- a/tests/owner/Simulation.h
+++ b/tests/owner/Simulation.h
@@ -209,6 +209,19 @@
     ++m_Lives[Victim.m_Name];
   }
   void restart(const std::string &Name) { instance(Name).m_IsUp = true; }
+  /// Suspends an instance: statements and probes wait until it resumes, and
+  /// nothing reaches it from control or from other instances.
+  void stall(const std::string &Name, Duration Lasts) {
+    m_Stalled.insert({Name});
+    m_ControlCut.insert({Name});
+    m_ReplicationCut.insert({Name});
+    at(Lasts, [this, Name] {
+      m_Stalled.erase({Name});
+      m_ControlCut.erase({Name});
+      m_ReplicationCut.erase({Name});
+      answerWaits();
+    });
+  }
   void cutOwner(size_t Owner, const std::string &Name) {
     m_Owners[Owner]->m_Unreachable.insert({Name});
   }
@@ -219,6 +232,7 @@
     }
     m_ControlCut.clear();
     m_ReplicationCut.clear();
+    m_Stalled.clear();
   }
   /// Breaks a connection; an answer that was outstanding is lost.
   void reset(const FakeConnectionKey &Key) {
@@ -274,6 +288,7 @@
   /// Set when a request completed twice or after its deadline.
   std::string m_CompletionFault;
   std::set<InstanceName> m_ControlCut;
+  std::set<InstanceName> m_Stalled;
   /// Instances that do not replicate.
   std::set<InstanceName> m_ReplicationCut;
   /// Called for each statement that an owner sends, before it is delivered.
@@ -411,17 +426,24 @@
                    ? 1
                    : 0;
     m_MaxOutstanding[Name] = std::max(m_MaxOutstanding[Name], Count);
-    at(latency(), [this, Key, Name, Sent] {
-      FakeInstance &Target = *m_Instances.at(Name);
-      if (isCut(Key.first, Name) || m_Broken.contains(Key))
-        return;
-      if (!Target.m_IsUp) {
-        answer(Key, InstanceFailure{"refused", true});
-        return;
-      }
-      m_Jobs[Name].push_back({Key, Sent});
-      startJobs(Name);
-    });
+    at(latency(), [this, Key, Name, Sent] { arrive(Key, Name, Sent); });
+  }
+
+  void arrive(const FakeConnectionKey &Key, const InstanceName &Name,
+              const SendStatement &Sent) {
+    FakeInstance &Target = *m_Instances.at(Name);
+    if (m_Stalled.contains(Name)) {
+      at(milliseconds(1), [this, Key, Name, Sent] { arrive(Key, Name, Sent); });
+      return;
+    }
+    if (isCut(Key.first, Name) || m_Broken.contains(Key))
+      return;
+    if (!Target.m_IsUp) {
+      answer(Key, InstanceFailure{"refused", true});
+      return;
+    }
+    m_Jobs[Name].push_back({Key, Sent});
+    startJobs(Name);
   }
 
   void startJobs(const InstanceName &Name) {
@@ -487,7 +509,8 @@
       PendingProbe &Waiting = It->second;
       ++It;
       FakeInstance &Asked = *m_Instances.at(Waiting.m_Instance);
-      if (!Waiting.m_HasArrived || Waiting.m_IsAnswered)
+      if (!Waiting.m_HasArrived || Waiting.m_IsAnswered ||
+          m_Stalled.contains(Waiting.m_Instance))
         continue;
       if (Asked.m_IsUp && Waiting.m_Asked.m_WaitFor &&
           Asked.position() < *Waiting.m_Asked.m_WaitFor)
