--- a/src/decision/proxy/owner/GroupAnswers.cpp
+++ b/src/decision/proxy/owner/GroupAnswers.cpp
@@ -111,8 +111,11 @@
 void OwnerGroup::onFailure(PendingRequest &Request, Connection &Connection,
                            bool NothingSent, bool AlreadyClosed, Time Now) {
   Instance &Failed = *Connection.m_Instance;
-  Failed.m_PausedUntil =
-      std::max(Failed.m_PausedUntil, Now + kPauseAfterFailure);
+  // An idle connection that the instance closed meanwhile is no sign that the
+  // instance fails.
+  if (!NothingSent)
+    Failed.m_PausedUntil =
+        std::max(Failed.m_PausedUntil, Now + kPauseAfterFailure);
   Transaction *Pinned = Connection.m_Transaction;
   discard(Connection, AlreadyClosed);
   if (NothingSent)
