--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -1,6 +1,7 @@
 // Measures the slopes that docs/CAPACITY.md is built on. Each experiment runs
 // at three or more sizes and prints one line a size. Traffic stays on loopback.
-// Usage: capacity configuration|ranking|connections|links|datagrams
+// Usage: capacity configuration|ranking|connections|links|datagrams|control
+#include "almondpier/Decision.h"
 #include "almondpier/Net.h"
 #include "almondpier/Telemetry.h"
 #include "decision/HostRanking.h"
@@ -216,6 +217,129 @@
   }
 }
 
+/// A control leader with proxies that poll and send heartbeats every 250 ms,
+/// and that ask for tokens; no sockets, so the figures are those of the
+/// decisions and the encoding of the answers.
+class ControlLoad {
+public:
+  explicit ControlLoad(size_t Hosts) : m_Hosts(Hosts) {
+    ControlOptions Options;
+    Options.m_Self = ControlMember{
+        MemberId{1}, HostName{"control"}, AvailabilityZone{"zone"},
+        Endpoint{"192.0.2.1", 1}, Endpoint{"192.0.2.1", 2}};
+    Options.m_ClusterId = 1;
+    Options.m_Log = makeInitialLog(Options.m_Self);
+    m_Core = std::make_unique<ControlCore>(Options, m_Now);
+    advance(std::chrono::seconds(3));
+  }
+
+  void announceDatabases(size_t Databases) {
+    for (size_t Database = 0; Database < Databases; ++Database)
+      for (size_t Index = 0; Index < 3; ++Index) {
+        InstanceRecord Instance;
+        Instance.m_Database.m_Value = "database-" + std::to_string(Database);
+        Instance.m_Name.m_Value = "instance-" + std::to_string(Index);
+        Instance.m_Platform =
+            Endpoint{"192.0.2.9", static_cast<uint16_t>(1'000 + Database)};
+        Instance.m_Statements = Instance.m_Platform;
+        handle(InstanceAnnounced{OperationId{++m_Operation}, Instance, false});
+      }
+    advance(std::chrono::milliseconds(500));
+  }
+
+  void advance(Duration Time) {
+    for (Duration Passed{0}; Passed < Time; Passed += kTick) {
+      m_Now += kTick;
+      handle(ClockTick{1});
+    }
+  }
+
+  /// One interval of polls and heartbeats of all proxies.
+  void runInterval() {
+    for (size_t Host = 0; Host < m_Hosts; ++Host) {
+      PollRequest Poll;
+      Poll.m_Host = hostNumber(Host);
+      Poll.m_Incarnation = 1;
+      Poll.m_Sequence = ++m_Sequence;
+      Poll.m_AppliedIndex = m_Core->appliedIndex();
+      Poll.m_LiveHostsTerm = m_Core->blackboard().m_LiveHosts.m_Term;
+      Poll.m_LiveHostsVersion = m_Core->blackboard().m_LiveHosts.m_Version;
+      m_PollBytes += encode(Message(Poll)).size();
+      handle(MessageReceived{LinkId{2 * Host + 2}, Poll});
+      Heartbeat Beat{Poll.m_Host.m_Name, true, Poll.m_AppliedIndex, {}};
+      handle(DatagramReceived{Endpoint{"192.0.2.1", 7'000}, Beat});
+    }
+    advance(std::chrono::milliseconds(250));
+  }
+
+  void handle(const ControlEvent &Event) {
+    m_Actions.clear();
+    m_Core->handle(Event, m_Now, m_Actions);
+    // Actions can grow while instances answer, so the index is used.
+    for (size_t Index = 0; Index < m_Actions.size(); ++Index)
+      if (const SendMessage *Send = std::get_if<SendMessage>(&m_Actions[Index]))
+        m_ReplyBytes += encode(Send->m_Message).size();
+      else if (const CallInstance *Call =
+                   std::get_if<CallInstance>(&m_Actions[Index]))
+        m_Calls.push_back(*Call);
+    answerCalls();
+  }
+
+  uint64_t m_PollBytes = 0;
+  uint64_t m_ReplyBytes = 0;
+
+private:
+  static constexpr Duration kTick = std::chrono::milliseconds(10);
+
+  /// Instances seal, become primary and follow as they are told.
+  void answerCalls() {
+    while (!m_Calls.empty()) {
+      CallInstance Call = m_Calls.back();
+      m_Calls.pop_back();
+      InstanceCallAnswered Answer{Call.m_Call, 200, std::nullopt, 0};
+      std::string Name = "instance-" + std::to_string(Call.m_Call.m_Value % 3);
+      Answer.m_Status =
+          InstanceStatus{InstanceName{Name}, {}, Call.m_Term, false};
+      handle(Answer);
+    }
+  }
+
+  size_t m_Hosts;
+  Time m_Now{};
+  uint64_t m_Sequence = 0;
+  uint64_t m_Operation = 0;
+  std::unique_ptr<ControlCore> m_Core;
+  ControlActions m_Actions;
+  std::vector<CallInstance> m_Calls;
+};
+
+void measureControl() {
+  constexpr int kIntervals = 40;
+  for (size_t Hosts : {11, 135, 270, 540}) {
+    size_t Databases = Hosts * 1'200 / 540;
+    double Before = allocatedBytes();
+    ControlLoad Load(Hosts);
+    Load.announceDatabases(Databases);
+    for (int Interval = 0; Interval < 8; ++Interval)
+      Load.runInterval();
+    double Memory = allocatedBytes() - Before;
+    Load.m_PollBytes = 0;
+    Load.m_ReplyBytes = 0;
+    double Start = processorSeconds();
+    for (int Interval = 0; Interval < kIntervals; ++Interval)
+      Load.runInterval();
+    double Seconds = processorSeconds() - Start;
+    double Polls = static_cast<double>(Hosts) * kIntervals;
+    std::printf("control hosts=%zu databases=%zu core_percent=%.2f "
+                "us_per_poll_and_heartbeat=%.2f poll_bytes=%.0f "
+                "reply_bytes=%.0f allocated_bytes=%.0f\n",
+                Hosts, Databases, Seconds * 100 / (kIntervals * 0.25),
+                Seconds * 1e6 / Polls,
+                static_cast<double>(Load.m_PollBytes) / Polls,
+                static_cast<double>(Load.m_ReplyBytes) / Polls, Memory);
+  }
+}
+
 int run(std::string_view Experiment) {
   if (Experiment == "configuration")
     measureConfiguration();
@@ -227,6 +351,8 @@
     measureLinks();
   else if (Experiment == "datagrams")
     measureDatagrams();
+  else if (Experiment == "control")
+    measureControl();
   else
     return 2;
   return 0;
@@ -240,7 +366,7 @@
   int Result = ArgumentCount == 2 ? almondpier::run(Arguments[1]) : 2;
   if (Result == 2)
     std::fputs("usage: capacity "
-               "configuration|ranking|connections|links|datagrams\n",
+               "configuration|ranking|connections|links|datagrams|control\n",
                stderr);
   return Result;
 }
