--- /dev/null
+++ b/tests/control/OperationsTest.cpp
@@ -0,0 +1,137 @@
+#include "almondpier/Operations.h"
+#include "almondpier/ControlHost.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <filesystem>
+#include <sstream>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace almondpier;
+
+namespace {
+
+uint16_t freePort() {
+  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Length = sizeof(Address);
+  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length) == 0);
+  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+  ::close(Socket);
+  return ntohs(Address.sin_port);
+}
+
+const std::string kOperatorKey = "0123456789abcdef0123456789abcdef";
+
+/// A control host on a thread of its own.
+class RunningControl {
+public:
+  explicit RunningControl(const ControlHostSettings &Settings)
+      : m_Thread([this, Settings] {
+          EventLoop Loop;
+          ControlHost Host(Loop, Settings);
+          Timer Watch(Loop, std::chrono::milliseconds(10), [&] {
+            if (m_Stop.exchange(false))
+              Host.shutDown();
+          });
+          Host.run();
+        }) {}
+  ~RunningControl() {
+    m_Stop = true;
+    m_Thread.join();
+  }
+  RunningControl(const RunningControl &) = delete;
+  RunningControl &operator=(const RunningControl &) = delete;
+
+private:
+  std::atomic<bool> m_Stop{false};
+  std::thread m_Thread;
+};
+
+struct Fixture {
+  std::string m_Folder =
+      "/tmp/almondpier-control-" + std::to_string(::getpid());
+  ControlHostSettings m_Settings;
+  OperationsOptions m_Options;
+  std::string m_Output;
+  std::string m_Errors;
+
+  Fixture() {
+    std::filesystem::remove_all(m_Folder);
+    m_Settings.m_Host = {"c1"};
+    m_Settings.m_Zone = {"z1"};
+    m_Settings.m_Peer = {"127.0.0.1", freePort()};
+    m_Settings.m_Operations = {"127.0.0.1", freePort()};
+    m_Settings.m_FleetSecret = {"0123456789abcdef0123456789abcdef"};
+    m_Settings.m_AnnouncementSecret = "announce-announce";
+    m_Settings.m_Operators = {{digestOfKey(kOperatorKey), "ann"}};
+    m_Settings.m_DataFolder = m_Folder;
+    m_Settings.m_Bootstrap = true;
+    m_Options.m_Control = {{"127.0.0.1", freePort()}, m_Settings.m_Operations};
+    m_Options.m_OperatorKey = kOperatorKey;
+  }
+  ~Fixture() { std::filesystem::remove_all(m_Folder); }
+  Fixture(const Fixture &) = delete;
+  Fixture &operator=(const Fixture &) = delete;
+
+  OperationsExit run(const std::vector<std::string> &Words) {
+    std::ostringstream Out;
+    std::ostringstream Errors;
+    OperationsExit Exit = runOperation(Words, m_Options, Out, Errors);
+    m_Output = Out.str();
+    m_Errors = Errors.str();
+    return Exit;
+  }
+};
+
+} // namespace
+
+TEST_CASE("control: the command line creates, issues and resends once, and its "
+          "changes survive a restart of the control host") {
+  Fixture Test;
+  Test.m_Options.m_ChangeId = "id-1";
+  {
+    RunningControl Control(Test.m_Settings);
+    CHECK((Test.run({"organisations", "create", "prairie"}) ==
+           OperationsExit::Done));
+    // Sent again by hand: no second effect, no refusal.
+    CHECK((Test.run({"organisations", "create", "prairie"}) ==
+           OperationsExit::Done));
+    Test.m_Options.m_ChangeId.clear();
+    CHECK((Test.run({"organisations", "create", "prairie"}) ==
+           OperationsExit::Refused));
+    Test.m_Options.m_ExpectVersion = 7;
+    CHECK((Test.run({"organisations", "create", "paip"}) ==
+           OperationsExit::VersionConflict));
+    Test.m_Options.m_ExpectVersion.reset();
+    CHECK(
+        (Test.run({"keys", "issue", "prairie", "k1"}) == OperationsExit::Done));
+    CHECK(Test.m_Output.find("key (shown once)") != std::string::npos);
+    CHECK((Test.run({"organisations", "invent"}) == OperationsExit::Usage));
+  }
+  RunningControl Control(Test.m_Settings);
+  CHECK((Test.run({"keys", "list"}) == OperationsExit::Done));
+  CHECK(Test.m_Output.find("k1") != std::string::npos);
+  CHECK((Test.run({"audit"}) == OperationsExit::Done));
+  CHECK(Test.m_Output.find("version_conflict") != std::string::npos);
+}
+
+TEST_CASE("control: an unknown operator key is refused, and without a leader "
+          "the command line says so") {
+  Fixture Test;
+  Test.m_Options.m_Patience = std::chrono::milliseconds(300);
+  CHECK((Test.run({"keys", "list"}) == OperationsExit::NoLeader));
+  Test.m_Options.m_Patience = std::chrono::seconds(20);
+  RunningControl Control(Test.m_Settings);
+  CHECK((Test.run({"keys", "list"}) == OperationsExit::Done));
+  Test.m_Options.m_OperatorKey = "another-key-another-key";
+  CHECK((Test.run({"keys", "list"}) == OperationsExit::Refused));
+  CHECK(Test.m_Errors.find("operator key") != std::string::npos);
+}
