Drop proofs of freshness when a control host changes its role

Reads of the leader and requests of a follower are numbered separately, but their batches share one table. A batch of the former role whose index was not applied yet could have taken the number of a new one, and answered its polls with the older proof. Found by reading; batches now start again on a change of role.

--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -31,14 +31,13 @@
 
 void FeedController::tick(ControlContext &Context) {
   if (m_WasLeader != m_Board.m_IsLeader) {
-    // Numbers of reads at the leader and of requests at a follower differ.
+    // Numbers of reads at the leader and of requests at a follower overlap, so
+    // no proof of the former role may stand for one of the new role.
     m_WasLeader = m_Board.m_IsLeader;
     for (std::pair<const uint64_t, Batch> &Entry : m_Batches)
-      if (!Entry.second.m_Index)
-        for (Waiter &Waiter : Entry.second.m_Waiters)
-          m_Waiting.push_back(std::move(Waiter));
-    std::erase_if(m_Batches,
-                  [](const auto &Entry) { return !Entry.second.m_Index; });
+      for (Waiter &Waiter : Entry.second.m_Waiters)
+        m_Waiting.push_back(std::move(Waiter));
+    m_Batches.clear();
   }
   dropLate(Context);
   answerReady(Context);
