--- a/include/almondpier/Model.h
+++ b/include/almondpier/Model.h
@@ -414,8 +414,8 @@
 };
 
 /// Makes a spare a member of a group with a free place. Accepted only while
-/// m_Term is the last begun term and has a primary, so that no change of primary
-/// is in progress.
+/// m_Term is the last begun term and has a primary, so that no change of
+/// primary is in progress.
 struct AdmitInstance {
   DatabaseName m_Database;
   InstanceName m_Instance;
