Keep the reports of several heartbeats together

Cause: when the reports of a host do not fit one datagram they rotate, but the control host replaced the whole list with each heartbeat, so unhealthy instances vanished for some of them and a failover could start late.

--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -400,10 +400,12 @@
   bool m_Ready = false;
   uint64_t m_AppliedIndex = 0;
   std::vector<InstanceReport> m_Reports;
+  /// Not all reports fit; the ones left out are in the next heartbeats.
+  bool m_IsPartial = false;
 
   friend auto operator<=>(const Heartbeat &, const Heartbeat &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(m_Host, m_Ready, m_AppliedIndex, m_Reports);
+    Ar(m_Host, m_Ready, m_AppliedIndex, m_Reports, m_IsPartial);
   }
 };
 /// Tells the sender of a datagram which nonce this receiver expects.
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -7,12 +7,17 @@
 
 namespace almondpier {
 
-/// The latest heartbeat of a proxy.
+struct ReceivedReport {
+  InstanceReport m_Report;
+  Time m_ReceivedAt;
+};
+
+/// What the latest heartbeats of a proxy said.
 struct HostHealth {
   Time m_HeardAt;
   bool m_Ready = false;
   uint64_t m_AppliedIndex = 0;
-  std::vector<InstanceReport> m_Reports;
+  std::vector<ReceivedReport> m_Reports;
 };
 
 /// One finished change of primary, with the time each step took.
--- a/src/decision/control/FailoverController.cpp
+++ b/src/decision/control/FailoverController.cpp
@@ -80,9 +80,9 @@
   for (const std::pair<const HostName, HostHealth> &Entry : m_Board.m_Health) {
     if (Now - Entry.second.m_HeardAt >= LivenessController::kLiveLimit)
       continue;
-    for (const InstanceReport &Report : Entry.second.m_Reports)
-      m_Reports[Report.m_Database].push_back(
-          HostReport{Entry.first, Entry.second.m_AppliedIndex, &Report});
+    for (const ReceivedReport &Received : Entry.second.m_Reports)
+      m_Reports[Received.m_Report.m_Database].push_back(HostReport{
+          Entry.first, Entry.second.m_AppliedIndex, &Received.m_Report});
   }
 }
 
--- a/src/decision/control/LivenessController.cpp
+++ b/src/decision/control/LivenessController.cpp
@@ -21,7 +21,27 @@
   Health.m_HeardAt = Now;
   Health.m_Ready = Heartbeat.m_Ready;
   Health.m_AppliedIndex = Heartbeat.m_AppliedIndex;
-  Health.m_Reports = Heartbeat.m_Reports;
+  if (Heartbeat.m_IsPartial)
+    keepOtherReports(Health, Heartbeat, Now);
+  else
+    Health.m_Reports.clear();
+  for (const InstanceReport &Report : Heartbeat.m_Reports)
+    Health.m_Reports.push_back(ReceivedReport{Report, Now});
+}
+
+void LivenessController::keepOtherReports(HostHealth &Health,
+                                          const Heartbeat &Heartbeat,
+                                          Time Now) {
+  std::erase_if(Health.m_Reports, [&](const ReceivedReport &Known) {
+    if (Now - Known.m_ReceivedAt >= kLiveLimit)
+      return true;
+    return std::any_of(Heartbeat.m_Reports.begin(), Heartbeat.m_Reports.end(),
+                       [&](const InstanceReport &Report) {
+                         return Report.m_Database ==
+                                    Known.m_Report.m_Database &&
+                                Report.m_Instance == Known.m_Report.m_Instance;
+                       });
+  });
 }
 
 void LivenessController::onHostRecord(const HostRecord &Host,
--- a/src/decision/control/LivenessController.h
+++ b/src/decision/control/LivenessController.h
@@ -26,6 +26,9 @@
   std::vector<HostRecord> takeRelays() { return std::move(m_Relays); }
 
 private:
+  /// Drops reports that a partial heartbeat renews and those that are too old.
+  static void keepOtherReports(HostHealth &Health, const Heartbeat &Heartbeat,
+                               Time Now);
   void publish(ControlContext &Context);
 
   ControlBlackboard &m_Board;
--- a/src/decision/proxy/HeartbeatController.cpp
+++ b/src/decision/proxy/HeartbeatController.cpp
@@ -19,7 +19,7 @@
 }
 
 Heartbeat HeartbeatController::makeHeartbeat(bool IsReady) {
-  Heartbeat Result{m_Host, IsReady, m_Board.m_AppliedIndex, {}};
+  Heartbeat Result{m_Host, IsReady, m_Board.m_AppliedIndex, {}, false};
   const std::vector<InstanceReport> &Reports = m_Board.m_Reports;
   if (Reports.empty())
     return Result;
@@ -34,6 +34,7 @@
     size_t NextBytes = encode(Message(Single)).size() - EmptyBytes;
     if (Bytes + NextBytes > kMaxHeartbeatBytes) {
       m_NextReport = First + Offset;
+      Result.m_IsPartial = true;
       return Result;
     }
     Bytes += NextBytes;
