--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -43,8 +43,8 @@
   return Value;
 }
 
-/// Without precise timers libevent reads a coarse clock, which makes every timer
-/// up to 4 ms late.
+/// Without precise timers libevent reads a coarse clock, which makes every
+/// timer up to 4 ms late.
 static event_base *newPreciseBase() {
   std::unique_ptr<event_config, LibeventDeleter<event_config_free>> Config(
       event_config_new());
