--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -102,10 +102,11 @@
   REQUIRE(Failure);
   CHECK(Failure->m_NothingSent);
   Failure.reset();
-  HttpServer Server(
-      Loop, Local, {},
-      {[&](HttpServerRequest Request) { Server.close(Request.m_Connection); },
-       {}});
+  HttpServer Server(Loop, Local, {},
+                    {[&](const HttpServerRequest &Request) {
+                       Server.close(Request.m_Connection);
+                     },
+                     {}});
   Client = std::make_unique<HttpClientConnection>(Loop, Local, kGenerous);
   Client->send({HttpMethod::Post, "/", {}, "x"}, Store);
   Loop.run();
@@ -164,14 +165,15 @@
   Endpoint Right{"127.0.0.1", freePort()};
   Endpoint Stranger{"127.0.0.1", freePort()};
   int Received = 0;
-  DatagramSocket Receiver(
-      Loop, kSecret, Left,
-      [&](const Endpoint & /*Peer*/, Message /*Message*/) { ++Received; });
-  DatagramSocket Sender(Loop, kSecret, Right,
-                        [](const Endpoint & /*Peer*/, Message /*Message*/) {});
-  DatagramSocket Other(Loop, FleetSecret{"another secret that is long"},
-                       Stranger,
-                       [](const Endpoint & /*Peer*/, Message /*Message*/) {});
+  DatagramSocket Receiver(Loop, kSecret, Left,
+                          [&](const Endpoint & /*Peer*/,
+                              const Message & /*Message*/) { ++Received; });
+  DatagramSocket Sender(
+      Loop, kSecret, Right,
+      [](const Endpoint & /*Peer*/, const Message & /*Message*/) {});
+  DatagramSocket Other(
+      Loop, FleetSecret{"another secret that is long"}, Stranger,
+      [](const Endpoint & /*Peer*/, const Message & /*Message*/) {});
   for (int Round = 0; Round < 3; ++Round) {
     Sender.send(Left, Message(Heartbeat{HostName{"h"}, true, 0, {}}));
     Other.send(Left, Message(Heartbeat{HostName{"h"}, true, 0, {}}));
