--- a/tests/control/OperationsTest.cpp
+++ b/tests/control/OperationsTest.cpp
@@ -1,6 +1,8 @@
 #include "almondpier/Operations.h"
 #include "almondpier/ControlHost.h"
 
+#include "FreeEndpoint.h"
+
 #include <doctest/doctest.h>
 
 #include <atomic>
@@ -16,18 +18,6 @@
 
 namespace {
 
-uint16_t freePort() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length) == 0);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  ::close(Socket);
-  return ntohs(Address.sin_port);
-}
-
 const std::string kOperatorKey = "0123456789abcdef0123456789abcdef";
 
 /// A control host on a thread of its own.
@@ -67,14 +57,14 @@
     std::filesystem::remove_all(m_Folder);
     m_Settings.m_Host = {"c1"};
     m_Settings.m_Zone = {"z1"};
-    m_Settings.m_Peer = {"127.0.0.1", freePort()};
-    m_Settings.m_Operations = {"127.0.0.1", freePort()};
+    m_Settings.m_Peer = freeEndpoint();
+    m_Settings.m_Operations = freeEndpoint();
     m_Settings.m_FleetSecret = {"0123456789abcdef0123456789abcdef"};
     m_Settings.m_AnnouncementSecret = "announce-announce";
     m_Settings.m_Operators = {{digestOfKey(kOperatorKey), "ann"}};
     m_Settings.m_DataFolder = m_Folder;
     m_Settings.m_Bootstrap = true;
-    m_Options.m_Control = {{"127.0.0.1", freePort()}, m_Settings.m_Operations};
+    m_Options.m_Control = {freeEndpoint(), m_Settings.m_Operations};
     m_Options.m_OperatorKey = kOperatorKey;
   }
   ~Fixture() { std::filesystem::remove_all(m_Folder); }
--- a/tests/load/LoadRunTest.cpp
+++ b/tests/load/LoadRunTest.cpp
@@ -2,6 +2,8 @@
 #include "almondpier/Net.h"
 #include "almondpier/StandIn.h"
 
+#include "FreeEndpoint.h"
+
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
@@ -13,18 +15,6 @@
 
 enum class Planted : uint8_t { Nothing, LostWrite, DoubleWrite, StaleRead };
 
-Endpoint freeEndpoint() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length) == 0);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  ::close(Socket);
-  return Endpoint{"127.0.0.1", ntohs(Address.sin_port)};
-}
-
 /// A proxy in front of one stand-in instance. One append in ten meets the
 /// planted fault.
 class FakeProxy {
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -1,5 +1,7 @@
 #include "almondpier/Net.h"
 
+#include "FreeEndpoint.h"
+
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
@@ -10,18 +12,6 @@
 
 namespace {
 
-uint16_t freePort() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length) == 0);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  ::close(Socket);
-  return ntohs(Address.sin_port);
-}
-
 void runFor(EventLoop &Loop, std::chrono::milliseconds Limit) {
   Delay Stop(Loop, Limit, [&] { Loop.stop(); });
   Loop.run();
@@ -35,7 +25,7 @@
 TEST_CASE("an HTTP answer sent later reaches its own request, and a closed "
           "connection forgets its requests") {
   EventLoop Loop;
-  Endpoint Local{"127.0.0.1", freePort()};
+  Endpoint Local = freeEndpoint();
   std::vector<HttpServerRequest> Received;
   int Closed = 0;
   HttpServer Server(
@@ -87,7 +77,7 @@
 TEST_CASE("a refused HTTP connection reports that nothing was sent, a server "
           "that closes does not") {
   EventLoop Loop;
-  Endpoint Local{"127.0.0.1", freePort()};
+  Endpoint Local = freeEndpoint();
   std::optional<HttpClientConnection::Failure> Failure;
   HttpClientConnection::Callback Store =
       [&](const std::variant<HttpResponse, HttpClientConnection::Failure>
@@ -116,7 +106,7 @@
 
 TEST_CASE("links carry messages between holders of the same secret only") {
   EventLoop Loop;
-  Endpoint Local{"127.0.0.1", freePort()};
+  Endpoint Local = freeEndpoint();
   std::vector<std::unique_ptr<Link>> Accepted;
   std::vector<Message> Received;
   std::string AcceptedDown;
@@ -161,9 +151,9 @@
 TEST_CASE("datagrams arrive after the nonce exchange, and not from holders of "
           "another secret") {
   EventLoop Loop;
-  Endpoint Left{"127.0.0.1", freePort()};
-  Endpoint Right{"127.0.0.1", freePort()};
-  Endpoint Stranger{"127.0.0.1", freePort()};
+  Endpoint Left = freeEndpoint();
+  Endpoint Right = freeEndpoint();
+  Endpoint Stranger = freeEndpoint();
   int Received = 0;
   DatagramSocket Receiver(Loop, kSecret, Left,
                           [&](const Endpoint & /*Peer*/,
@@ -186,7 +176,7 @@
 TEST_CASE("a second request sent before the first answer is answered in turn "
           "and does not stop the server") {
   EventLoop Loop;
-  Endpoint Local{"127.0.0.1", freePort()};
+  Endpoint Local = freeEndpoint();
   std::vector<HttpServerRequest> Received;
   HttpServer Server(Loop, Local, {},
                     {[&](HttpServerRequest Request) {
--- a/tests/proxy/ProxyServerTest.cpp
+++ b/tests/proxy/ProxyServerTest.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "FreeEndpoint.h"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -15,19 +17,6 @@
 
 namespace {
 
-Endpoint freeEndpoint() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address),
-                 sizeof(Address)) == 0);
-  socklen_t Length = sizeof(Address);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  ::close(Socket);
-  return Endpoint{"127.0.0.1", ntohs(Address.sin_port)};
-}
-
 constexpr const char *kSecret = "the fleet secret of the test";
 
 /// A control host on real sockets that answers polls and lends tokens.
--- a/tests/standin/ServerTest.cpp
+++ b/tests/standin/ServerTest.cpp
@@ -1,6 +1,8 @@
 #include "almondpier/Net.h"
 #include "almondpier/StandIn.h"
 
+#include "FreeEndpoint.h"
+
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
@@ -10,18 +12,6 @@
 
 namespace {
 
-Endpoint freeEndpoint() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length) == 0);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  ::close(Socket);
-  return Endpoint{"127.0.0.1", ntohs(Address.sin_port)};
-}
-
 /// One instance and a client that waits for each answer.
 struct Server {
   EventLoop &m_Loop;
