--- a/include/almondpier/ControlHost.h
+++ b/include/almondpier/ControlHost.h
@@ -3,9 +3,15 @@
 #pragma once
 
 #include "almondpier/Net.h"
+#include "decision/control/ControlCore.h"
 
 namespace almondpier {
 
+/// Carries out calls to instances and to the platform about them. OnAnswer is
+/// called exactly once, at the latest when the timeout of the call has passed.
+using GroupGateway = std::function<void(
+    const CallGroup &Call, std::function<void(const GroupCallAnswered &)>)>;
+
 struct ControlHostSettings {
   HostName m_Host;
   AvailabilityZone m_Zone;
@@ -22,6 +28,15 @@
   bool m_Bootstrap = false;
   /// Peer endpoints of control hosts that an empty data folder joins.
   std::vector<Endpoint> m_Join;
+  /// Operations endpoint that other processes see; m_Operations when empty.
+  std::optional<Endpoint> m_PublicOperations;
+  /// Peer endpoints of all founders. When set and this host is one of them, an
+  /// empty data folder forms the cluster with the others; no founder waits for
+  /// another one. Every founder must get the same list, and only before the
+  /// cluster exists.
+  std::vector<Endpoint> m_Founders;
+  /// Without one, instances are reached by the product's own interface only.
+  GroupGateway m_Gateway;
 };
 
 /// Parses NAME:HEXDIGEST pairs separated by commas. Throws
@@ -40,6 +55,15 @@
   /// Runs the loop until the host has shut down. Throws what ended it
   /// otherwise, such as InvariantViolation.
   void run();
+  /// Takes the reply to one operation; called at most once.
+  using OnReply = std::function<void(const ReplyToOperation &)>;
+
+  void installPolicy(InstallPolicy Install, OnReply Reply);
+  /// Replies without an error once core() holds everything accepted before.
+  void confirmState(OnReply Reply);
+  void checkIn(InstanceCheckIn CheckIn, OnReply Reply);
+  const ControlCore &core() const;
+
   /// Hands over leadership, finishes answers in flight and ends run().
   void shutDown();
 
--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -223,15 +223,67 @@
     Ar(m_Term, m_Version, m_Hosts);
   }
 };
+/// Whether new work may go to an instance.
+enum class InstanceState : uint8_t { Ready, Draining };
+
+/// What an instance says of itself in a check-in.
+struct InstanceDescription {
+  InstanceName m_Name;
+  DatabaseName m_Database;
+  AvailabilityZone m_Zone;
+  Endpoint m_Statements;
+  uint32_t m_Slots = 1;
+  InstanceState m_State = InstanceState::Ready;
+  bool m_IsPrimary = false;
+  /// Wall-clock start of the instance in milliseconds since 1970; a later start
+  /// under the same name is another boot. 0 when not stated.
+  uint64_t m_StartedAtMs = 0;
+
+  friend auto operator<=>(const InstanceDescription &,
+                          const InstanceDescription &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Name, m_Database, m_Zone, m_Statements, m_Slots, m_State, m_IsPrimary,
+       m_StartedAtMs);
+  }
+};
+/// A check-in of an instance, or its last word before it ends.
+struct InstanceCheckIn {
+  InstanceDescription m_Instance;
+  /// Rises with each check-in of one boot, so that a late one is recognised.
+  uint64_t m_Sequence = 0;
+  /// The instance ends; only m_Instance.m_Name is set.
+  bool m_IsLeaving = false;
+
+  friend auto operator<=>(const InstanceCheckIn &,
+                          const InstanceCheckIn &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Instance, m_Sequence, m_IsLeaving);
+  }
+};
+/// The leader's list of instances. Versions of one leader rise; a list of a
+/// later term replaces any older.
+struct InstanceDirectory {
+  uint64_t m_Term = 0;
+  uint64_t m_Version = 0;
+  std::vector<InstanceDescription> m_Instances;
+
+  friend auto operator<=>(const InstanceDirectory &,
+                          const InstanceDirectory &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Term, m_Version, m_Instances);
+  }
+};
 struct ReadIndexReply {
   uint64_t m_Sequence = 0;
   uint64_t m_Index = 0;
   LiveHosts m_LiveHosts;
+  /// Set when it changed since the last reply on the link.
+  std::optional<InstanceDirectory> m_Directory;
 
   friend auto operator<=>(const ReadIndexReply &,
                           const ReadIndexReply &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(m_Sequence, m_Index, m_LiveHosts);
+    Ar(m_Sequence, m_Index, m_LiveHosts, m_Directory);
   }
 };
 /// A control host with an empty data folder asks the leader to add it as a
@@ -284,11 +336,13 @@
   uint64_t m_AppliedIndex = 0;
   uint64_t m_LiveHostsTerm = 0;
   uint64_t m_LiveHostsVersion = 0;
+  uint64_t m_DirectoryTerm = 0;
+  uint64_t m_DirectoryVersion = 0;
 
   friend auto operator<=>(const PollRequest &, const PollRequest &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(m_Host, m_Incarnation, m_Sequence, m_AppliedIndex, m_LiveHostsTerm,
-       m_LiveHostsVersion);
+       m_LiveHostsVersion, m_DirectoryTerm, m_DirectoryVersion);
   }
 };
 /// Proves that the configuration up to m_AppliedIndex holds everything accepted
@@ -305,6 +359,7 @@
   uint64_t m_SnapshotOffset = 0;
   uint64_t m_SnapshotBytes = 0;
   std::optional<LiveHosts> m_LiveHosts;
+  std::optional<InstanceDirectory> m_Directory;
   /// The control host that leads; empty when unknown.
   HostName m_Leader;
   std::vector<ControlMember> m_ControlMembers;
@@ -312,7 +367,8 @@
   friend auto operator<=>(const PollReply &, const PollReply &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(m_Sequence, m_AppliedIndex, m_Changes, m_Snapshot, m_SnapshotOffset,
-       m_SnapshotBytes, m_LiveHosts, m_Leader, m_ControlMembers);
+       m_SnapshotBytes, m_LiveHosts, m_Directory, m_Leader,
+       m_ControlMembers);
   }
 };
 
@@ -544,7 +600,7 @@
                  JoinRequest, ProposeRequest, ProposeReply, RelayAnnouncement,
                  PollRequest, PollReply, TokenRequest, TokenGrant, TokenReturn,
                  Heartbeat, HeartbeatNonce, ForwardRequest, ForwardReply,
-                 ForwardCancel>;
+                 ForwardCancel, InstanceCheckIn>;
 
 std::string encode(const Message &Message);
 /// Throws DecodeError.
--- a/include/almondpier/Model.h
+++ b/include/almondpier/Model.h
@@ -40,6 +40,9 @@
 using HostName = Name<struct HostTag>;
 using AvailabilityZone = Name<struct AvailabilityZoneTag>;
 using KeyId = Name<struct KeyIdTag>;
+/// The name under which callers open sessions; a route maps it to a database
+/// group and a read guarantee.
+using RouteName = Name<struct RouteTag>;
 
 /// Longest accepted name of any kind, in bytes.
 constexpr size_t kMaxNameBytes = 64;
@@ -427,11 +430,97 @@
   }
 };
 
+/// What a read through a route must observe.
+enum class ReadGuarantee : uint8_t {
+  /// Every commit acknowledged before the read.
+  Primary,
+  /// Every commit acknowledged longer ago than the age limit of the route.
+  BoundedAge,
+  /// As BoundedAge, and every commit of the same session.
+  ReadYourWrites,
+};
+
+/// How sessions of one route are served.
+struct RoutePolicy {
+  DatabaseName m_Database;
+  ReadGuarantee m_Guarantee = ReadGuarantee::Primary;
+  /// Longest time for one statement.
+  uint32_t m_StatementTimeoutMs = 1'000;
+  /// Latency that callers aim for; 0 when none is stated.
+  uint32_t m_TargetLatencyMs = 0;
+  uint32_t m_MaxReadAgeMs = 0;
+  /// 0 is the most urgent.
+  uint32_t m_Priority = 0;
+  bool m_AllowsAnonymous = false;
+
+  friend auto operator<=>(const RoutePolicy &, const RoutePolicy &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Database, m_Guarantee, m_StatementTimeoutMs, m_TargetLatencyMs,
+       m_MaxReadAgeMs, m_Priority, m_AllowsAnonymous);
+  }
+};
+
+/// What is declared about a database group.
+struct GroupPolicy {
+  /// Connections of all hosts together to one instance.
+  uint32_t m_ConnectionLimit = 25;
+  /// Replicas that hold a commit before the primary acknowledges it; with 0 an
+  /// acknowledged commit can be lost with the primary.
+  uint32_t m_SyncReplicas = 0;
+
+  friend auto operator<=>(const GroupPolicy &, const GroupPolicy &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_ConnectionLimit, m_SyncReplicas);
+  }
+};
+
+struct OrganisationPolicy {
+  std::vector<KeyDigest> m_Keys;
+  Limit m_Limit;
+
+  friend auto operator<=>(const OrganisationPolicy &,
+                          const OrganisationPolicy &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Keys, m_Limit);
+  }
+};
+
+/// Organisations, routes and groups as one document, replaced as a whole.
+struct FleetPolicy {
+  /// Chosen by the operator; rises in steps of any size.
+  uint64_t m_Version = 0;
+  std::map<OrganisationName, OrganisationPolicy> m_Organisations;
+  std::map<RouteName, RoutePolicy> m_Routes;
+  std::map<DatabaseName, GroupPolicy> m_Groups;
+  /// A transaction that is idle for so long is rolled back.
+  uint32_t m_TransactionIdleMs = 10'000;
+
+  friend auto operator<=>(const FleetPolicy &, const FleetPolicy &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Version, m_Organisations, m_Routes, m_Groups, m_TransactionIdleMs);
+  }
+};
+
+/// Replaces the policy document when its version is above the one in force;
+/// otherwise it is accepted and changes nothing. It carries its own version, so
+/// it needs neither an expected version nor a change identifier.
+struct InstallPolicy {
+  FleetPolicy m_Policy;
+  /// The document as the operator sent it; only control hosts keep it.
+  std::string m_Source;
+
+  friend auto operator<=>(const InstallPolicy &,
+                          const InstallPolicy &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Policy, m_Source);
+  }
+};
+
 using ChangeBody =
     std::variant<CreateOrganisation, RemoveOrganisation, IssueKey, RevokeKey,
                  DefinePreset, ActivatePreset, DrainInstance, RemoveInstance,
                  RemoveHost, RecordMembership, RegisterHost, RegisterInstance,
-                 BeginTerm, ElectPrimary, AdmitInstance>;
+                 BeginTerm, ElectPrimary, AdmitInstance, InstallPolicy>;
 
 /// Returns whether an operator (not the system) makes such a change.
 bool isOperatorChange(const ChangeBody &Body);
@@ -496,6 +585,8 @@
   /// Returns the key with this digest, or null.
   const std::pair<const KeyId, KeyRecord> *
   findKey(const KeyDigest &Digest) const;
+  /// The policy document in force; of version 0 before the first.
+  const FleetPolicy &policy() const { return m_Policy; }
   /// Returns the group of this name, or null.
   const DatabaseRecord *findDatabase(const DatabaseName &Database) const;
 
@@ -503,7 +594,7 @@
                          const Configuration &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(m_Version, m_PresetInForce, m_Presets, m_Organisations, m_Keys,
-       m_KeyByDigest, m_Databases, m_Hosts);
+       m_KeyByDigest, m_Databases, m_Hosts, m_Policy);
   }
 
 private:
@@ -517,6 +608,7 @@
   std::map<KeyDigest, KeyId> m_KeyByDigest;
   std::map<DatabaseName, DatabaseRecord> m_Databases;
   std::map<HostName, HostRecord> m_Hosts;
+  FleetPolicy m_Policy;
 };
 
 } // namespace almondpier
--- a/include/almondpier/Net.h
+++ b/include/almondpier/Net.h
@@ -154,6 +154,69 @@
   std::unique_ptr<State> m_State;
 };
 
+// Lines.
+
+/// A TCP connection that carries text lines ended by CR LF both ways.
+class LineStream {
+public:
+  struct Callbacks {
+    std::function<void()> m_OnOpen;
+    /// Called with each line without its end; the stream may be closed inside,
+    /// but not destroyed.
+    std::function<void(std::string_view)> m_OnLine;
+    /// The peer closed the connection, it failed, or it broke a limit. Called at
+    /// most once, never after close().
+    std::function<void(const std::string &Reason)> m_OnClose;
+  };
+  struct Limits {
+    /// Longest line in bytes.
+    size_t m_MaxLineBytes = 1U << 20U;
+    /// A peer that acknowledges nothing for so long is taken for lost.
+    uint32_t m_SilenceTimeoutMs = 5'000;
+    /// Bytes that wait for a peer which does not read.
+    size_t m_MaxPendingBytes = 4U << 20U;
+  };
+
+  static std::unique_ptr<LineStream> connect(EventLoop &Loop,
+                                             const Endpoint &Peer,
+                                             const Limits &Limits,
+                                             Callbacks Callbacks);
+  ~LineStream();
+  LineStream(const LineStream &) = delete;
+  LineStream &operator=(const LineStream &) = delete;
+
+  /// Sends bytes that already hold whole lines.
+  void write(std::string_view Lines);
+  void setCallbacks(Callbacks Callbacks);
+  /// Ends the connection once everything written has been sent. The owner may
+  /// destroy the stream when isFinished() says so.
+  void closeAfterWriting();
+  /// Ends the connection at once; what the peer has not read may be lost.
+  void reset();
+  bool isFinished() const;
+
+  struct State;
+  explicit LineStream(std::unique_ptr<State> State);
+
+private:
+  std::unique_ptr<State> m_State;
+};
+
+/// Accepts line streams. Throws Error when the endpoint cannot be bound.
+class LineListener {
+public:
+  LineListener(EventLoop &Loop, const Endpoint &Local,
+               const LineStream::Limits &Limits,
+               std::function<void(std::unique_ptr<LineStream>)> OnAccept);
+  ~LineListener();
+  LineListener(const LineListener &) = delete;
+  LineListener &operator=(const LineListener &) = delete;
+
+private:
+  struct State;
+  std::unique_ptr<State> m_State;
+};
+
 // HTTP.
 
 enum class HttpMethod : uint8_t { Get, Post, Other };
--- /dev/null
+++ b/include/almondpier/SessionServer.h
@@ -0,0 +1,171 @@
+/// \file
+/// The proxy for stateful sessions: listens for callers, connects to instances
+/// and control hosts, and carries out what SessionCore decides. The line format
+/// that callers and instances speak is a template parameter.
+#pragma once
+
+#include "almondpier/Net.h"
+#include "almondpier/Telemetry.h"
+#include "decision/session/SessionCore.h"
+#include "proxy/ProxyLinks.h"
+
+#include <concepts>
+#include <deque>
+#include <unordered_map>
+#include <variant>
+
+namespace almondpier {
+
+// Lines as a wire format decodes them.
+
+/// A caller opens a session.
+struct OpenLine {
+  RouteName m_Route;
+  std::optional<KeyDigest> m_Key;
+};
+/// A caller ends its session.
+struct EndLine {};
+/// No line that a caller or an instance may send.
+struct InvalidLine {};
+using CallerLine = std::variant<OpenLine, Statement, EndLine, InvalidLine>;
+
+struct RowLine {
+  std::string m_Row;
+};
+struct CompleteLine {
+  std::string m_Receipt;
+};
+struct ErrorLine {
+  SessionError m_Error = SessionError::Other;
+  std::string m_Text;
+};
+/// The instance takes the next statement.
+struct ReadyLine {
+  TransactionState m_State = TransactionState::None;
+  std::optional<Position> m_Position;
+};
+using InstanceLine =
+    std::variant<RowLine, CompleteLine, ErrorLine, ReadyLine, InvalidLine>;
+
+/// Encodes and decodes lines. Formatting functions return whole lines with
+/// their ends.
+template <typename T>
+concept LineFormat = requires(std::string_view Line, const Statement &Sent,
+                              const StatementReply &Reply,
+                              const std::optional<Position> &NotBefore,
+                              const OpenInstance &Opened, SessionError Error) {
+  { T::parseCallerLine(Line) } -> std::same_as<CallerLine>;
+  { T::parseInstanceLine(Line) } -> std::same_as<InstanceLine>;
+  { T::formatAccepted() } -> std::same_as<std::string>;
+  { T::formatRefused(Error) } -> std::same_as<std::string>;
+  { T::formatReply(Reply) } -> std::same_as<std::string>;
+  { T::formatOpen(Opened) } -> std::same_as<std::string>;
+  { T::formatStatement(Sent, NotBefore) } -> std::same_as<std::string>;
+};
+
+struct SessionServerSettings {
+  /// m_Forward is where this host sends datagrams from and accepts links.
+  HostRecord m_Host;
+  /// TCP endpoint for callers.
+  Endpoint m_Listen;
+  /// HTTP endpoint for probes of readiness and for metrics.
+  Endpoint m_Health;
+  std::string m_ReadyPath = "/readyz";
+  /// TCP and UDP endpoints of control hosts to begin with.
+  std::vector<Endpoint> m_Control;
+  /// 16 to 64 bytes.
+  std::string m_FleetSecret;
+  SessionLimits m_Limits;
+  LineStream::Limits m_CallerLimits;
+  LineStream::Limits m_InstanceLimits;
+  /// A caller that connects sends its first line within this time.
+  Duration m_OpenTimeout = std::chrono::milliseconds(3'000);
+};
+
+/// Serves callers and executes the core's actions. The loop stops when a
+/// shutdown is complete.
+template <LineFormat Format> class SessionServer {
+public:
+  /// Throws Error when an endpoint cannot be bound.
+  SessionServer(EventLoop &Loop, const SessionServerSettings &Settings);
+  SessionServer(const SessionServer &) = delete;
+  SessionServer &operator=(const SessionServer &) = delete;
+
+  /// Finishes the work in progress and then stops the loop.
+  void shutDown() { dispatch(ShutdownRequested()); }
+
+private:
+  static constexpr std::chrono::milliseconds kTickInterval{5};
+  /// Lets the last answers and returned tokens reach the network.
+  static constexpr std::chrono::milliseconds kFlushTime{200};
+  static constexpr std::chrono::seconds kCloseLimit{3};
+
+  struct Caller {
+    std::unique_ptr<LineStream> m_Stream;
+    Time m_ConnectedAt;
+    bool m_HasOpened = false;
+    /// Set once the stream is to be closed when everything is written.
+    std::optional<Time> m_ClosingSince;
+  };
+  struct Instance {
+    std::unique_ptr<LineStream> m_Stream;
+    bool m_IsConnected = false;
+    StatementReply m_Reply;
+  };
+
+  void accept(std::unique_ptr<LineStream> Stream);
+  void onCallerLine(SessionId Id, std::string_view Line);
+  void onInstanceLine(ConnectionId Id, std::string_view Line);
+  void closeCaller(SessionId Id);
+  void tick();
+  void dispatch(SessionEvent Event);
+  void dispatchLinkEvent(ProxyEvent Event);
+  void handle(const HttpServerRequest &Request);
+  std::string metrics() const;
+
+  void execute(const AcceptSession &Action);
+  void execute(const RefuseSession &Action);
+  void execute(const AnswerStatement &Action);
+  void execute(const CloseSession &Action) { closeCaller(Action.m_Session); }
+  void execute(const OpenInstance &Action);
+  void execute(const SendToInstance &Action);
+  void execute(const CloseConnection &Action);
+  void execute(const ReportDecision &Action);
+  void execute(const OpenLink &Action) { m_Links.open(Action); }
+  void execute(const CloseLink &Action) { m_Links.close(Action); }
+  void execute(const SendMessage &Action) { m_Links.send(Action); }
+  void execute(const SendDatagram &Action) { m_Links.send(Action); }
+  void execute(const ReportStateChange &Action) {
+    writeLog(LogLevel::Info, Action.m_Text);
+  }
+  void execute(const ShutdownComplete & /*Action*/) {
+    m_End =
+        std::make_unique<Delay>(m_Loop, kFlushTime, [this] { m_Loop.stop(); });
+  }
+  /// Actions of the other kinds of proxy.
+  template <typename Other> void execute(const Other & /*Action*/) {}
+
+  static ProxyOptions optionsOf(const SessionServerSettings &Settings);
+
+  EventLoop &m_Loop;
+  SessionServerSettings m_Settings;
+  SessionCore m_Core;
+  LogBudget m_LogBudget;
+  std::deque<SessionEvent> m_Events;
+  bool m_IsDispatching = false;
+  std::unordered_map<uint64_t, Caller> m_Callers;
+  std::unordered_map<uint64_t, Instance> m_Instances;
+  /// Streams that ended, possibly inside one of their own callbacks.
+  std::vector<std::unique_ptr<LineStream>> m_Ended;
+  uint64_t m_LastSession = 0;
+  ProxyLinks m_Links;
+  LineListener m_Listener;
+  HttpServer m_Health;
+  Timer m_Tick;
+  std::unique_ptr<Delay> m_End;
+  LatencyHistogram m_StatementLatency;
+};
+
+} // namespace almondpier
+
+#include "session/SessionServerImpl.h"
--- a/include/almondpier/Telemetry.h
+++ b/include/almondpier/Telemetry.h
@@ -18,6 +18,23 @@
 /// Writes one line about a change of state. Never pass keys or secrets.
 void writeLog(LogLevel Level, std::string_view Text);
 
+/// Bounds the lines about single requests, so that a flood of failures costs
+/// neither the disk nor the processor of a small host.
+class LogBudget {
+public:
+  /// Whether a line may be written now. Failures use the whole budget, other
+  /// lines half of it.
+  bool take(Time Now, bool IsFailure);
+  /// Lines left out since the last call, once per second at most.
+  uint64_t takeDropped(Time Now);
+
+private:
+  Time m_SecondBegan;
+  uint32_t m_Written = 0;
+  uint64_t m_Dropped = 0;
+  Time m_ReportedAt;
+};
+
 /// Durations from 1 us to 100 s in buckets that grow by about 12%.
 class LatencyHistogram {
 public:
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -6,6 +6,7 @@
 #include "control/InstanceCaller.h"
 #include "control/OperationsServer.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace almondpier {
@@ -55,6 +56,46 @@
   return Operators;
 }
 
+namespace {
+
+/// Operations of other frontends have numbers apart from those of the
+/// operations server, which count from 1.
+constexpr uint64_t kFirstOperation = uint64_t{1} << 63U;
+
+/// Identifiers that every founder computes alike.
+uint64_t founderNumber(std::string_view Text) {
+  KeyDigest Digest = digestOfKey(Text);
+  uint64_t Number = 0;
+  for (size_t Index = 0; Index < sizeof(Number); ++Index)
+    Number = (Number << 8U) | Digest.m_Bytes[Index];
+  return std::max<uint64_t>(Number, 1);
+}
+
+/// The founders as every one of them must describe them: nothing but the
+/// endpoint of another founder is known at the first start.
+std::vector<ControlMember> foundersOf(std::vector<Endpoint> Peers,
+                                      uint16_t OperationsPort) {
+  std::sort(Peers.begin(), Peers.end());
+  std::vector<ControlMember> Members;
+  for (const Endpoint &Peer : Peers)
+    Members.push_back(
+        ControlMember{MemberId{founderNumber("member " + formatEndpoint(Peer))},
+                      HostName{Peer.m_Address},
+                      {},
+                      Peer,
+                      Endpoint{Peer.m_Address, OperationsPort}});
+  return Members;
+}
+
+uint64_t clusterOf(const std::vector<ControlMember> &Founders) {
+  std::string Text = "cluster";
+  for (const ControlMember &Founder : Founders)
+    Text += " " + formatEndpoint(Founder.m_Peer);
+  return founderNumber(Text);
+}
+
+} // namespace
+
 struct ControlHost::State {
   EventLoop &m_Loop;
   ControlHostSettings m_Settings;
@@ -73,6 +114,8 @@
   bool m_IsHandling = false;
   std::optional<Time> m_EndAt;
   std::exception_ptr m_Failure;
+  std::map<OperationId, OnReply> m_Replies;
+  uint64_t m_LastOperation = kFirstOperation;
 
   State(EventLoop &Loop, const ControlHostSettings &Settings)
       : m_Loop(Loop), m_Settings(Settings), m_Store(Settings.m_DataFolder),
@@ -94,13 +137,15 @@
     ControlOptions Options;
     Options.m_Self =
         ControlMember{m_Store.memberId(), m_Settings.m_Host, m_Settings.m_Zone,
-                      m_Settings.m_Peer, m_Settings.m_Operations};
+                      m_Settings.m_Peer, publicOperations()};
     if (m_Settings.m_Bootstrap && !m_Settings.m_Join.empty())
       throw Error(ErrorKind::BadRequest,
                   "--bootstrap forms a new cluster and --join enters one; give "
                   "only one of them");
     if (m_Settings.m_Bootstrap && m_Store.clusterId() == 0)
       m_Store.bootstrap(Options.m_Self);
+    if (!m_Settings.m_Founders.empty() && m_Store.clusterId() == 0)
+      found(Options.m_Self);
     Options.m_Log = m_Store.takeLog();
     Options.m_ClusterId = m_Store.clusterId();
     Options.m_JoinPeers = m_Settings.m_Join;
@@ -108,10 +153,35 @@
     return Options;
   }
 
+  Endpoint publicOperations() const {
+    return m_Settings.m_PublicOperations.value_or(m_Settings.m_Operations);
+  }
+
+  /// Forms the cluster when this host is a founder; otherwise it joins.
+  void found(ControlMember &Self) {
+    std::vector<ControlMember> Founders =
+        foundersOf(m_Settings.m_Founders, publicOperations().m_Port);
+    auto Found = std::find_if(Founders.begin(), Founders.end(),
+                              [&](const ControlMember &Founder) {
+                                return Founder.m_Peer == Self.m_Peer;
+                              });
+    if (Found == Founders.end())
+      return;
+    m_Store.found(Found->m_Id, clusterOf(Founders), Founders);
+    Self = *Found;
+  }
+
+  OperationId beginOperation(OnReply Reply) {
+    OperationId Id{++m_LastOperation};
+    m_Replies.emplace(Id, std::move(Reply));
+    return Id;
+  }
+
   void tick() {
     m_EndedLinks.clear();
     post(ClockTick{wallTimeMs()});
-    bool IsAnswered = m_Operations.requestsInFlight() == 0;
+    bool IsAnswered =
+        m_Operations.requestsInFlight() == 0 && m_Replies.empty();
     if (m_EndAt && (IsAnswered || m_Loop.now() >= *m_EndAt))
       m_Loop.stop();
   }
@@ -183,8 +253,24 @@
   void carryOut(const PersistCluster &Action) {
     m_Store.initialise(Action.m_ClusterId, {});
   }
-  void carryOut(const ReplyToOperation &Action) { m_Operations.reply(Action); }
+  void carryOut(const ReplyToOperation &Action) {
+    auto Found = m_Replies.find(Action.m_Id);
+    if (Found == m_Replies.end())
+      return m_Operations.reply(Action);
+    OnReply Reply = std::move(Found->second);
+    m_Replies.erase(Found);
+    Reply(Action);
+  }
   void carryOut(const CallInstance &Action) { m_Instances.call(Action); }
+  void carryOut(const CallGroup &Action) {
+    if (!m_Settings.m_Gateway) {
+      post(GroupCallAnswered{Action.m_Call, GroupCallOutcome::Refused, {}, 0,
+                             false});
+      return;
+    }
+    m_Settings.m_Gateway(
+        Action, [this](const GroupCallAnswered &Answer) { post(Answer); });
+  }
   void carryOut(const OpenLink &Action) {
     m_Links[Action.m_Link] =
         Link::connect(m_Loop, m_Settings.m_FleetSecret, Action.m_Peer,
@@ -222,6 +308,23 @@
     std::rethrow_exception(m_State->m_Failure);
 }
 
+void ControlHost::installPolicy(InstallPolicy Install, OnReply Reply) {
+  OperationId Id = m_State->beginOperation(std::move(Reply));
+  m_State->post(PolicySubmitted{Id, std::move(Install)});
+}
+
+void ControlHost::confirmState(OnReply Reply) {
+  OperationId Id = m_State->beginOperation(std::move(Reply));
+  m_State->post(OperatorRead{Id});
+}
+
+void ControlHost::checkIn(InstanceCheckIn CheckIn, OnReply Reply) {
+  OperationId Id = m_State->beginOperation(std::move(Reply));
+  m_State->post(InstanceCheckedIn{Id, std::move(CheckIn)});
+}
+
+const ControlCore &ControlHost::core() const { return m_State->m_Core; }
+
 void ControlHost::shutDown() { m_State->post(ShutdownRequested{}); }
 
 } // namespace almondpier
--- a/src/control/ControlStore.cpp
+++ b/src/control/ControlStore.cpp
@@ -24,6 +24,12 @@
   initialise(drawIdentifier(), makeInitialLog(Self));
 }
 
+void ControlStore::found(MemberId Self, uint64_t ClusterId,
+                         const std::vector<ControlMember> &Founders) {
+  m_MemberId = Self;
+  initialise(ClusterId, makeInitialLog(Founders));
+}
+
 void ControlStore::persist(PersistLog Change) {
   ConsensusOutput Output;
   Output.m_HardState = Change.m_HardState;
--- a/src/decision/consensus/Consensus.cpp
+++ b/src/decision/consensus/Consensus.cpp
@@ -23,9 +23,13 @@
 } // namespace
 
 PersistedLog makeInitialLog(const ControlMember &Self) {
+  return makeInitialLog(std::vector<ControlMember>{Self});
+}
+
+PersistedLog makeInitialLog(const std::vector<ControlMember> &Founders) {
   PersistedLog Log;
   Log.m_HardState.m_Term = 1;
-  Log.m_Entries.push_back({1, 1, {}, Membership{{Self}, {}}});
+  Log.m_Entries.push_back({1, 1, {}, Membership{Founders, {}}});
   return Log;
 }
 
--- a/src/decision/consensus/Consensus.h
+++ b/src/decision/consensus/Consensus.h
@@ -59,6 +59,9 @@
 
 /// The log of a new cluster whose only voter is Self.
 PersistedLog makeInitialLog(const ControlMember &Self);
+/// The log of a new cluster that its founders form together; every founder
+/// must start with the same members in the same order.
+PersistedLog makeInitialLog(const std::vector<ControlMember> &Founders);
 
 /// What the driver must do, in this order: persist and sync m_HardState,
 /// m_InstalledSnapshot and m_Entries; send m_Messages; apply
--- a/src/decision/control/AllocatorController.cpp
+++ b/src/decision/control/AllocatorController.cpp
@@ -196,9 +196,9 @@
     Missing += Waiting[Index] - Lent[Index];
   }
   // Half of the rest stays for requests that wait at other hosts.
-  std::vector<uint32_t> Advance =
-      Missing > 0 ? std::vector<uint32_t>(Claims.size(), 0)
-                  : divide(Ahead, static_cast<uint32_t>(Bucket.tokens() / 2));
+  std::vector<uint32_t> Advance(Claims.size(), 0);
+  if (Missing <= 0)
+    Advance = divide(Ahead, static_cast<uint32_t>(Bucket.tokens() / 2));
   double RetryAfterMs = std::ceil((Missing + 1 - Bucket.tokens()) /
                                   Limit.m_RatePerSecond * kMsPerSecond);
   for (size_t Index = 0; Index < Claims.size(); ++Index) {
--- a/src/decision/control/ChangeController.cpp
+++ b/src/decision/control/ChangeController.cpp
@@ -61,6 +61,32 @@
   wait(Event.m_Id, *Index, Context);
 }
 
+void ChangeController::submitPolicy(const PolicySubmitted &Event,
+                                    ControlContext &Context) {
+  const Configuration &InForce = Context.m_Board.configuration();
+  // What this host has applied is committed, so no leader is needed to confirm
+  // that a document of this version or a later one was accepted.
+  if (Event.m_Install.m_Policy.m_Version <= InForce.policy().m_Version)
+    return reply(Event.m_Id, ChangeOutcome{true, InForce.version(), {}},
+                 Context);
+  if (!Context.m_Board.m_IsLeader || Context.m_Board.m_IsShuttingDown)
+    return Context.refuseAsFollower(Event.m_Id);
+  Change Proposed;
+  Proposed.m_WallTimeMs = Context.m_Board.m_WallTimeMs;
+  Proposed.m_Body = Event.m_Install;
+  std::string Data = encode(Proposed);
+  if (Data.size() > kMaxChangeBytes)
+    return reply(
+        Event.m_Id,
+        refusal(ErrorKind::BodyTooLarge, "a change has at most 512 KiB"),
+        Context);
+  std::optional<uint64_t> Index =
+      Context.m_Log.propose(std::move(Data), Context.m_Now);
+  if (!Index)
+    return Context.refuseAsFollower(Event.m_Id);
+  wait(Event.m_Id, *Index, Context);
+}
+
 void ChangeController::submitMembership(OperationId Id,
                                         const Membership &Target,
                                         const Change &Record,
--- a/src/decision/control/ChangeController.h
+++ b/src/decision/control/ChangeController.h
@@ -12,6 +12,8 @@
 class ChangeController {
 public:
   void submit(const OperatorChange &Event, ControlContext &Context);
+  /// Answers at once when the document in force is as new.
+  void submitPolicy(const PolicySubmitted &Event, ControlContext &Context);
   /// Proposes a change of the membership; the outcome answers Id.
   void submitMembership(OperationId Id, const Membership &Target,
                         const Change &Record, ControlContext &Context);
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -59,6 +59,16 @@
   LiveHosts m_LiveHosts;
   std::map<HostName, HostHealth> m_Health;
 
+  /// Written by the directory controller. The list is not yet known when
+  /// m_Directory.m_Version is 0.
+  InstanceDirectory m_Directory;
+  /// When each instance of the directory last checked in with a host that
+  /// relayed it to this leader.
+  std::map<InstanceName, Time> m_CheckedInAt;
+
+  /// Written by the core: when each member last sent a message to this one.
+  std::map<MemberId, Time> m_MemberHeardAt;
+
   /// Written by the failover controller: the last changes of primary, and the
   /// step of each one in progress.
   std::vector<FailoverRecord> m_Failovers;
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -3,11 +3,13 @@
 #include "decision/control/AllocatorController.h"
 #include "decision/control/AnnouncementController.h"
 #include "decision/control/ChangeController.h"
+#include "decision/control/DirectoryController.h"
 #include "decision/control/FailoverController.h"
 #include "decision/control/FeedController.h"
 #include "decision/control/LivenessController.h"
 #include "decision/control/MembershipController.h"
 #include "decision/control/PeerLinks.h"
+#include "decision/control/PromotionController.h"
 
 #include <algorithm>
 
@@ -16,6 +18,12 @@
 namespace {
 
 constexpr uint64_t kCompactionInterval = 500;
+/// A policy document can have tens of kilobytes, so the log is also bounded by
+/// its size in memory and on disk.
+constexpr size_t kCompactionBytes = 512U << 10U;
+/// A member that knows no leader for so long asks to join again, in case it was
+/// removed while it was away; several election timeouts.
+constexpr Duration kLeaderlessLimit = std::chrono::milliseconds(2'000);
 constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
 /// Longest time for a successor to take over before the process ends.
 constexpr Duration kShutdownLimit = std::chrono::seconds(3);
@@ -34,6 +42,11 @@
   FailoverController m_Failover;
   MembershipController m_Membership;
   AnnouncementController m_Announcements;
+  DirectoryController m_Directory;
+  PromotionController m_Promotions;
+  /// Bytes of entries applied since the last snapshot.
+  size_t m_BytesSinceSnapshot = 0;
+  std::optional<Time> m_LeaderlessSince;
   uint64_t m_ClusterId = 0;
   uint64_t m_AppliedSinceStart = 0;
   uint64_t m_Snapshots = 0;
@@ -47,7 +60,7 @@
       : m_Options(Options), m_Feed(m_Board), m_Liveness(m_Board, Now),
         m_Allocator(m_Board), m_Failover(m_Board),
         m_Membership(m_Board, m_Changes), m_Announcements(m_Board),
-        m_ClusterId(Options.m_ClusterId) {
+        m_Directory(m_Board), m_Promotions(m_Board), m_ClusterId(Options.m_ClusterId) {
     m_Board.m_Self = Options.m_Self;
     if (m_ClusterId != 0)
       openLog(Now);
@@ -127,6 +140,12 @@
     else if (const InstanceAnnounced *Announced =
                  std::get_if<InstanceAnnounced>(&Event))
       Reply.m_Id = Announced->m_Id;
+    else if (const PolicySubmitted *Policy =
+                 std::get_if<PolicySubmitted>(&Event))
+      Reply.m_Id = Policy->m_Id;
+    else if (const InstanceCheckedIn *CheckIn =
+                 std::get_if<InstanceCheckedIn>(&Event))
+      Reply.m_Id = CheckIn->m_Id;
     else
       return;
     Actions.push_back(std::move(Reply));
@@ -150,7 +169,7 @@
 
   std::set<Endpoint> wantedPeers() const {
     std::set<Endpoint> Peers;
-    if (isJoining())
+    if (isJoining() || m_LeaderlessSince)
       Peers.insert(m_Options.m_JoinPeers.begin(), m_Options.m_JoinPeers.end());
     for (const std::vector<ControlMember> *Members :
          {&m_Board.m_Membership.m_Voters, &m_Board.m_Membership.m_Learners})
@@ -177,6 +196,28 @@
             m_Announcements.onAnnounced(Event, Context))
       sendToLeader(*Relay, Context);
   }
+  void on(const PolicySubmitted &Event, ControlContext &Context) {
+    m_Changes.submitPolicy(Event, Context);
+  }
+  void on(const InstanceCheckedIn &Event, ControlContext &Context) {
+    if (!isReady())
+      return Context.refuseAsFollower(Event.m_Id);
+    // Check-ins repeat, so one that is lost on the way to the leader costs an
+    // interval and nothing else.
+    if (m_Board.m_IsLeader)
+      m_Directory.onCheckIn(Event.m_CheckIn, Context);
+    else
+      sendToLeader(Event.m_CheckIn, Context);
+    ReplyToOperation Reply;
+    Reply.m_Id = Event.m_Id;
+    if (const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader))
+      Reply.m_Leader = Leader->m_Operations;
+    Context.m_Actions.push_back(std::move(Reply));
+  }
+  void on(const GroupCallAnswered &Event, ControlContext &Context) {
+    if (m_Board.m_IsLeader)
+      m_Promotions.onAnswered(Event, Context);
+  }
   void on(const DatagramReceived &Event, ControlContext &Context) {
     if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Event.m_Message))
       m_Liveness.onHeartbeat(*Beat, Context.m_Now);
@@ -218,12 +259,31 @@
       sendToLeader(*Request, Context);
     m_Allocator.tick(Context);
     m_Failover.tick(Context);
+    m_Directory.tick(Context);
+    m_Promotions.tick(Context);
     m_Membership.tick(Context);
-    if (isJoining())
+    watchLeader(Context.m_Now);
+    bool IsLost = m_LeaderlessSince &&
+                  Context.m_Now - *m_LeaderlessSince >= kLeaderlessLimit;
+    if (isJoining() || IsLost)
       askToJoin(Context.m_Actions, Context.m_Now);
     continueShutdown(Context);
   }
 
+  bool isReady() const {
+    return !m_Board.m_IsShuttingDown && !isJoining() &&
+           (m_Board.m_IsLeader ||
+            (m_Board.findMember(m_Board.m_Leader) != nullptr &&
+             m_Board.m_Leader != m_Board.m_Self.m_Id));
+  }
+
+  void watchLeader(Time Now) {
+    if (m_Board.m_Leader.m_Value != 0)
+      m_LeaderlessSince.reset();
+    else if (!m_LeaderlessSince)
+      m_LeaderlessSince = Now;
+  }
+
   void continueShutdown(ControlContext &Context) {
     if (!m_ShutdownUntil || m_IsShutdownComplete)
       return;
@@ -254,6 +314,7 @@
                  ControlContext &Context) {
     if (isJoining())
       m_LinkOfMember[Message.m_From] = Link;
+    m_Board.m_MemberHeardAt[Message.m_From] = Context.m_Now;
     m_Log->receive(Message, Context.m_Now);
   }
   void onMessage(LinkId Link, const ReadIndexRequest &Message,
@@ -266,6 +327,8 @@
   void onMessage(LinkId /*Link*/, const ReadIndexReply &Message,
                  ControlContext &Context) {
     m_Liveness.onLeaderList(Message.m_LiveHosts);
+    if (Message.m_Directory)
+      m_Directory.onLeaderDirectory(*Message.m_Directory);
     m_Feed.onReadIndexReply(Message, Context);
   }
   void onMessage(LinkId /*Link*/, const JoinRequest &Message,
@@ -286,6 +349,10 @@
                  ControlContext &Context) {
     m_Announcements.onRelayed(Message, Context);
   }
+  void onMessage(LinkId /*Link*/, const InstanceCheckIn &Message,
+                 ControlContext &Context) {
+    m_Directory.onCheckIn(Message, Context);
+  }
   void onMessage(LinkId Link, const PollRequest &Message,
                  ControlContext &Context) {
     m_Liveness.onHostRecord(Message.m_Host, Context);
@@ -363,6 +430,7 @@
   void install(const Snapshot &Snapshot, ControlContext &Context) {
     m_Board.m_State = ControlState::decoded(Snapshot.m_Data);
     m_Feed.onSnapshotInstalled();
+    m_BytesSinceSnapshot = 0;
     Context.reportStateChange("installed a snapshot up to index " +
                               std::to_string(Snapshot.m_Index));
   }
@@ -370,6 +438,7 @@
   void apply(const LogEntry &Entry, ControlContext &Context) {
     std::optional<ControlState::Applied> Applied = m_Board.m_State.apply(Entry);
     ++m_AppliedSinceStart;
+    m_BytesSinceSnapshot += Entry.m_Data.size();
     if (!Applied)
       return;
     if (Applied->m_Accepted)
@@ -379,8 +448,10 @@
 
   void compactIfDue(ControlContext &Context) {
     uint64_t Index = m_Board.m_State.appliedIndex();
-    if (Index < m_Log->snapshotIndex() + kCompactionInterval)
+    if (Index < m_Log->snapshotIndex() + kCompactionInterval &&
+        m_BytesSinceSnapshot < kCompactionBytes)
       return;
+    m_BytesSinceSnapshot = 0;
     m_Log->compact(Index, m_Board.m_State.encoded());
     Context.m_Actions.push_back(PersistSnapshot{m_Log->snapshot()});
     ++m_Snapshots;
@@ -422,10 +493,7 @@
 }
 
 bool ControlCore::isReady() const {
-  const ControlBlackboard &Board = m_State->m_Board;
-  return !Board.m_IsShuttingDown && !m_State->isJoining() &&
-         (Board.m_IsLeader || (Board.findMember(Board.m_Leader) != nullptr &&
-                               Board.m_Leader != Board.m_Self.m_Id));
+  return m_State->isReady();
 }
 
 uint64_t ControlCore::appliedIndex() const {
@@ -458,6 +526,8 @@
       {"almondpier_token_loans_short_total",
        "Loans smaller than the number of waiting requests.",
        static_cast<double>(m_State->m_Allocator.shortLoans())}};
+  for (Counter &Counter : m_State->m_Promotions.counters())
+    List.push_back(std::move(Counter));
   for (Counter &Counter : m_State->m_Failover.counters())
     List.push_back(std::move(Counter));
   return List;
--- a/src/decision/control/ControlEvents.h
+++ b/src/decision/control/ControlEvents.h
@@ -60,6 +60,37 @@
   /// Set by a good answer to Promote.
   std::optional<uint64_t> m_StartIndex;
 };
+/// Installs a policy document; the driver has decoded and validated it.
+struct PolicySubmitted {
+  OperationId m_Id;
+  InstallPolicy m_Install;
+};
+struct InstanceCheckedIn {
+  OperationId m_Id;
+  InstanceCheckIn m_CheckIn;
+};
+/// Names a call to an instance or to the platform about one; chosen by the
+/// core, never reused.
+struct GroupCallId {
+  uint64_t m_Value = 0;
+  friend auto operator<=>(const GroupCallId &, const GroupCallId &) = default;
+};
+enum class GroupCallOutcome : uint8_t {
+  Done,
+  /// The callee answered and did nothing.
+  Refused,
+  /// No answer; the call may still be carried out later.
+  Unknown,
+};
+struct GroupCallAnswered {
+  GroupCallId m_Call;
+  GroupCallOutcome m_Outcome = GroupCallOutcome::Unknown;
+  /// Position that the instance has received; set by Done answers to
+  /// ReadPosition and SealReplica.
+  Position m_Received;
+  uint64_t m_Term = 0;
+  bool m_IsPrimary = false;
+};
 /// Comes every 10 ms with the wall-clock time in milliseconds since 1970.
 struct ClockTick {
   uint64_t m_WallTimeMs = 0;
@@ -68,6 +99,7 @@
 using ControlEvent =
     std::variant<OperatorChange, OperatorRead, OperatorRemoveMember,
                  InstanceAnnounced, DatagramReceived, InstanceCallAnswered,
+                 PolicySubmitted, InstanceCheckedIn, GroupCallAnswered,
                  ClockTick, LinkOpened, LinkClosed, MessageReceived,
                  ShutdownRequested>;
 
@@ -109,9 +141,27 @@
   uint32_t m_TimeoutMs = 300;
 };
 
+enum class GroupCallKind : uint8_t {
+  ReadPosition,
+  /// Stops a replica from receiving, so that the primary gets no further
+  /// acknowledgement through it.
+  SealReplica,
+  Promote
+};
+struct CallGroup {
+  GroupCallId m_Call;
+  GroupCallKind m_Kind = GroupCallKind::ReadPosition;
+  InstanceDescription m_Instance;
+  /// Above every term of the group; set with SealReplica.
+  uint64_t m_SealTerm = 0;
+  /// Rises with each attempt and each leader; set with Promote.
+  uint64_t m_FencingToken = 0;
+  uint32_t m_TimeoutMs = 0;
+};
+
 using ControlAction =
     std::variant<PersistLog, PersistSnapshot, PersistCluster, ReplyToOperation,
-                 CallInstance, OpenLink, CloseLink, SendMessage,
+                 CallInstance, CallGroup, OpenLink, CloseLink, SendMessage,
                  ReportStateChange, ShutdownComplete>;
 using ControlActions = std::vector<ControlAction>;
 
--- a/src/decision/control/ControlState.cpp
+++ b/src/decision/control/ControlState.cpp
@@ -22,12 +22,20 @@
   if (IsIdentified)
     if (std::optional<ChangeOutcome> First = m_Outcomes.find(Received))
       return Applied{*First, std::nullopt};
+  uint64_t PolicyBefore = m_Configuration.policy().m_Version;
   ChangeOutcome Outcome = m_Configuration.apply(Received);
   if (IsIdentified)
     m_Outcomes.add(Received, Outcome);
   m_Audit.add(Received, Entry.m_Index, Outcome);
   if (!Outcome.m_Accepted)
     return Applied{Outcome, std::nullopt};
+  if (InstallPolicy *Install = std::get_if<InstallPolicy>(&Received.m_Body)) {
+    if (m_Configuration.policy().m_Version == PolicyBefore)
+      return Applied{Outcome, std::nullopt};
+    // Proxies need the decoded policy only.
+    m_PolicySource = std::move(Install->m_Source);
+    Install->m_Source.clear();
+  }
   return Applied{Outcome, std::move(Received)};
 }
 
--- a/src/decision/control/ControlState.h
+++ b/src/decision/control/ControlState.h
@@ -27,6 +27,8 @@
   const Configuration &configuration() const { return m_Configuration; }
   const OutcomeTable &outcomes() const { return m_Outcomes; }
   const AuditTrail &audit() const { return m_Audit; }
+  /// The policy document in force as the operator sent it.
+  const std::string &policySource() const { return m_PolicySource; }
 
   std::string encoded() const;
   /// Throws DecodeError.
@@ -34,7 +36,8 @@
 
   friend bool operator==(const ControlState &, const ControlState &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(m_AppliedIndex, m_AppliedTerm, m_Configuration, m_Outcomes, m_Audit);
+    Ar(m_AppliedIndex, m_AppliedTerm, m_Configuration, m_Outcomes, m_Audit,
+       m_PolicySource);
   }
 
 private:
@@ -43,6 +46,7 @@
   Configuration m_Configuration;
   OutcomeTable m_Outcomes;
   AuditTrail m_Audit;
+  std::string m_PolicySource;
 };
 
 } // namespace almondpier
--- /dev/null
+++ b/src/decision/control/DirectoryController.cpp
@@ -0,0 +1,142 @@
+#include "decision/control/DirectoryController.h"
+
+namespace almondpier {
+
+namespace {
+
+/// A leader without a predecessor's list waits for two intervals of check-ins
+/// (1.2 s each), so that it does not publish a partial list as the whole.
+constexpr Duration kCompletionTime = std::chrono::milliseconds(2'600);
+/// How long a boot that ended is remembered against its late check-ins.
+constexpr Duration kBootMemory = std::chrono::seconds(120);
+
+} // namespace
+
+bool DirectoryController::isLate(const InstanceCheckIn &CheckIn) const {
+  auto Known = m_Boots.find(CheckIn.m_Instance.m_Name);
+  if (Known == m_Boots.end())
+    return false;
+  const Boot &Last = Known->second;
+  if (CheckIn.m_IsLeaving)
+    return Last.m_HasLeft;
+  uint64_t StartedAtMs = CheckIn.m_Instance.m_StartedAtMs;
+  if (StartedAtMs != Last.m_StartedAtMs)
+    return StartedAtMs < Last.m_StartedAtMs;
+  return Last.m_HasLeft || CheckIn.m_Sequence <= Last.m_Sequence;
+}
+
+bool DirectoryController::isAddressTaken(
+    const InstanceDescription &Instance) const {
+  for (const auto &[Name, Entry] : m_Entries)
+    if (Entry.m_Statements == Instance.m_Statements &&
+        Name != Instance.m_Name &&
+        Entry.m_StartedAtMs > Instance.m_StartedAtMs)
+      return true;
+  return false;
+}
+
+void DirectoryController::dropOthersAt(const InstanceDescription &Instance) {
+  size_t Dropped = std::erase_if(m_Entries, [&](const auto &Entry) {
+    return Entry.second.m_Statements == Instance.m_Statements &&
+           Entry.first != Instance.m_Name;
+  });
+  m_IsChanged = m_IsChanged || Dropped > 0;
+}
+
+void DirectoryController::onCheckIn(const InstanceCheckIn &CheckIn,
+                                    ControlContext &Context) {
+  beginTermIfNew(Context);
+  const InstanceDescription &Instance = CheckIn.m_Instance;
+  if (!m_Board.m_IsLeader || isLate(CheckIn))
+    return;
+  Boot &Seen = m_Boots[Instance.m_Name];
+  Seen.m_HeardAt = Context.m_Now;
+  if (CheckIn.m_IsLeaving) {
+    Seen.m_HasLeft = true;
+    if (m_Entries.erase(Instance.m_Name) == 0)
+      return;
+    m_IsChanged = true;
+    Context.reportStateChange("instance " + Instance.m_Name.m_Value +
+                              " has left");
+    return publish(Context);
+  }
+  Seen.m_StartedAtMs = Instance.m_StartedAtMs;
+  Seen.m_Sequence = CheckIn.m_Sequence;
+  Seen.m_HasLeft = false;
+  if (isAddressTaken(Instance))
+    return;
+  dropOthersAt(Instance);
+  auto [Entry, IsNew] = m_Entries.try_emplace(Instance.m_Name, Instance);
+  if (IsNew || Entry->second != Instance) {
+    m_IsChanged = true;
+    Context.reportStateChange(
+        "instance " + Instance.m_Name.m_Value + " of database " +
+        Instance.m_Database.m_Value + " at " +
+        formatEndpoint(Instance.m_Statements) + " is " +
+        (Instance.m_State == InstanceState::Ready ? "ready" : "draining") +
+        " as " + (Instance.m_IsPrimary ? "primary" : "replica") +
+        ", check-in " + std::to_string(CheckIn.m_Sequence));
+  }
+  Entry->second = Instance;
+  m_Board.m_CheckedInAt[Instance.m_Name] = Context.m_Now;
+  publish(Context);
+}
+
+void DirectoryController::onLeaderDirectory(
+    const InstanceDirectory &Directory) {
+  if (std::pair(Directory.m_Term, Directory.m_Version) >
+      std::pair(m_Board.m_Directory.m_Term, m_Board.m_Directory.m_Version))
+    m_Board.m_Directory = Directory;
+}
+
+void DirectoryController::beginTermIfNew(ControlContext &Context) {
+  if (!m_Board.m_IsLeader || m_Term == m_Board.m_Term)
+    return;
+  m_Term = m_Board.m_Term;
+  m_Entries.clear();
+  m_Board.m_CheckedInAt.clear();
+  for (const InstanceDescription &Instance : m_Board.m_Directory.m_Instances) {
+    m_Entries[Instance.m_Name] = Instance;
+    m_Board.m_CheckedInAt[Instance.m_Name] = Context.m_Now;
+  }
+  m_IsChanged = true;
+  m_CompleteAfter =
+      m_Entries.empty() ? Context.m_Now + kCompletionTime : Context.m_Now;
+}
+
+void DirectoryController::tick(ControlContext &Context) {
+  beginTermIfNew(Context);
+  if (!m_Board.m_IsLeader)
+    return;
+  std::erase_if(m_Entries, [&](const auto &Entry) {
+    bool IsSilent = Context.m_Now - m_Board.m_CheckedInAt[Entry.first] >
+                    kForgetAfter;
+    m_IsChanged = m_IsChanged || IsSilent;
+    if (IsSilent)
+      Context.reportStateChange("instance " + Entry.first.m_Value +
+                                " is dropped: no check-in for 20 s");
+    return IsSilent;
+  });
+  std::erase_if(m_Boots, [&](const auto &Entry) {
+    return !m_Entries.contains(Entry.first) &&
+           Context.m_Now - Entry.second.m_HeardAt > kBootMemory;
+  });
+  publish(Context);
+}
+
+void DirectoryController::publish(ControlContext &Context) {
+  if (!m_IsChanged || Context.m_Now < m_CompleteAfter)
+    return;
+  m_IsChanged = false;
+  InstanceDirectory &Published = m_Board.m_Directory;
+  bool IsOwn = Published.m_Term == m_Board.m_Term && Published.m_Version > 0;
+  std::vector<InstanceDescription> Instances;
+  Instances.reserve(m_Entries.size());
+  for (const auto &[Name, Entry] : m_Entries)
+    Instances.push_back(Entry);
+  uint64_t Version = IsOwn ? Published.m_Version + 1 : 1;
+  Published =
+      InstanceDirectory{m_Board.m_Term, Version, std::move(Instances)};
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/control/DirectoryController.h
@@ -0,0 +1,52 @@
+/// \file
+/// The directory of database instances, from their check-ins.
+#pragma once
+
+#include "decision/control/ControlBlackboard.h"
+
+namespace almondpier {
+
+/// The leader keeps the directory in memory; check-ins repeat everything that
+/// a new leader does not know. Followers hold a copy, which a follower that
+/// becomes leader starts from.
+class DirectoryController {
+public:
+  /// An instance that has not checked in for so long is dropped; several times
+  /// the interval of check-ins, because connections show sooner that it is gone.
+  static constexpr Duration kForgetAfter = std::chrono::seconds(20);
+
+  explicit DirectoryController(ControlBlackboard &Board) : m_Board(Board) {}
+
+  /// Takes a check-in at the leader. A late one, of an earlier boot or an
+  /// earlier sequence number, changes nothing.
+  void onCheckIn(const InstanceCheckIn &CheckIn, ControlContext &Context);
+  /// The leader's list, as a follower receives it.
+  void onLeaderDirectory(const InstanceDirectory &Directory);
+  void tick(ControlContext &Context);
+
+private:
+  struct Boot {
+    uint64_t m_StartedAtMs = 0;
+    uint64_t m_Sequence = 0;
+    bool m_HasLeft = false;
+    Time m_HeardAt;
+  };
+
+  bool isLate(const InstanceCheckIn &CheckIn) const;
+  bool isAddressTaken(const InstanceDescription &Instance) const;
+  void dropOthersAt(const InstanceDescription &Instance);
+  void beginTermIfNew(ControlContext &Context);
+  void publish(ControlContext &Context);
+
+  ControlBlackboard &m_Board;
+  /// Entries by name; published when they change.
+  std::map<InstanceName, InstanceDescription> m_Entries;
+  std::map<InstanceName, Boot> m_Boots;
+  uint64_t m_Term = 0;
+  /// The entries differ from the published list.
+  bool m_IsChanged = false;
+  /// From then on every running instance has had the time to check in.
+  Time m_CompleteAfter;
+};
+
+} // namespace almondpier
--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -152,11 +152,16 @@
   Reply.m_Index = Index;
   // Messages on a link arrive in order, so an unchanged list need not be sent
   // again; term and version 0 stand for it.
-  std::pair<uint64_t, uint64_t> Current{m_Board.m_LiveHosts.m_Term,
-                                        m_Board.m_LiveHosts.m_Version};
+  SentVersions Current{
+      {m_Board.m_LiveHosts.m_Term, m_Board.m_LiveHosts.m_Version},
+      {m_Board.m_Directory.m_Term, m_Board.m_Directory.m_Version}};
   auto [Sent, IsFirst] = m_SentLists.emplace(Waiter.m_Link, Current);
-  if (IsFirst || Sent->second != Current)
+  if (IsFirst || Sent->second.m_LiveHosts != Current.m_LiveHosts)
     Reply.m_LiveHosts = m_Board.m_LiveHosts;
+  bool IsDirectoryNew =
+      IsFirst || Sent->second.m_Directory != Current.m_Directory;
+  if (IsDirectoryNew && m_Board.m_Directory.m_Version > 0)
+    Reply.m_Directory = m_Board.m_Directory;
   Sent->second = Current;
   Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
 }
@@ -172,6 +177,11 @@
   if (Live.m_Version > 0 && (Live.m_Term != Poll.m_LiveHostsTerm ||
                              Live.m_Version != Poll.m_LiveHostsVersion))
     Reply.m_LiveHosts = Live;
+  const InstanceDirectory &Directory = m_Board.m_Directory;
+  if (Directory.m_Version > 0 &&
+      (Directory.m_Term != Poll.m_DirectoryTerm ||
+       Directory.m_Version != Poll.m_DirectoryVersion))
+    Reply.m_Directory = Directory;
   if (const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader))
     Reply.m_Leader = Leader->m_Host;
   Reply.m_ControlMembers = m_Board.m_Membership.m_Voters;
--- a/src/decision/control/FeedController.h
+++ b/src/decision/control/FeedController.h
@@ -86,8 +86,12 @@
   uint64_t m_ChangesAfter = 0;
   std::string m_Snapshot;
   uint64_t m_SnapshotIndex = 0;
-  /// The live list last sent on each link to a follower.
-  std::map<LinkId, std::pair<uint64_t, uint64_t>> m_SentLists;
+  /// Term and version of the lists last sent on a link to a follower.
+  struct SentVersions {
+    std::pair<uint64_t, uint64_t> m_LiveHosts;
+    std::pair<uint64_t, uint64_t> m_Directory;
+  };
+  std::map<LinkId, SentVersions> m_SentLists;
   uint64_t m_AnsweredPolls = 0;
   uint64_t m_DroppedPolls = 0;
 };
--- a/src/decision/control/MembershipController.cpp
+++ b/src/decision/control/MembershipController.cpp
@@ -7,6 +7,13 @@
 namespace {
 
 constexpr Duration kStepInterval = std::chrono::milliseconds(50);
+/// Voters that stay although they are silent, so that an absence of members
+/// never shrinks the cluster to fewer copies.
+constexpr size_t kMinVoters = 3;
+/// A voter that sent nothing for so long, with enough others present, is
+/// removed; it joins again as a learner when it returns. Longer than an
+/// election and a stalled disk of 2 s.
+constexpr Duration kVoterSilence = std::chrono::milliseconds(3'000);
 
 std::string describeMember(const ControlMember &Member) {
   return "control host " + Member.m_Host.m_Value + " (member " +
@@ -102,8 +109,28 @@
   if (!m_Board.m_IsLeader || Context.m_Now - m_SteppedAt < kStepInterval)
     return;
   m_SteppedAt = Context.m_Now;
-  if (!replaceOldIdentifier(Context))
-    promoteLearner(Context);
+  if (!replaceOldIdentifier(Context) && !promoteLearner(Context))
+    removeSilentVoter(Context);
+}
+
+bool MembershipController::removeSilentVoter(ControlContext &Context) {
+  const std::vector<ControlMember> &Voters = m_Board.m_Membership.m_Voters;
+  if (Voters.size() <= kMinVoters ||
+      Context.m_Now - m_Board.m_LeaderSince < kVoterSilence)
+    return false;
+  for (const ControlMember &Voter : Voters) {
+    auto Heard = m_Board.m_MemberHeardAt.find(Voter.m_Id);
+    bool IsSilent = Heard == m_Board.m_MemberHeardAt.end() ||
+                    Context.m_Now - Heard->second >= kVoterSilence;
+    if (Voter.m_Id == m_Board.m_Self.m_Id || !IsSilent)
+      continue;
+    Membership Target = m_Board.m_Membership;
+    std::string Description = "remove silent voter: " + describeMember(Voter);
+    removeMember(Target.m_Voters, Voter.m_Id);
+    propose(Target, Description, Context);
+    return true;
+  }
+  return false;
 }
 
 bool MembershipController::replaceOldIdentifier(ControlContext &Context) {
--- a/src/decision/control/MembershipController.h
+++ b/src/decision/control/MembershipController.h
@@ -26,6 +26,7 @@
                ControlContext &Context);
   bool replaceOldIdentifier(ControlContext &Context);
   bool promoteLearner(ControlContext &Context);
+  bool removeSilentVoter(ControlContext &Context);
 
   const ControlBlackboard &m_Board;
   ChangeController &m_Changes;
--- /dev/null
+++ b/src/decision/control/PromotionController.h
@@ -0,0 +1,93 @@
+/// \file
+/// Changes of primary in groups whose instances promote on call and whose
+/// replication strength is declared.
+#pragma once
+
+#include "decision/control/ControlBlackboard.h"
+
+namespace almondpier {
+
+/// At the leader, notices a lost, departing or missing primary of each group in
+/// the directory, reads (and, with synchronous replicas, seals) the positions of
+/// the replicas, and has the most advanced one promoted. The fencing token rises
+/// with the leader's term and with each attempt, so that a late call of an
+/// earlier attempt is refused.
+class PromotionController {
+public:
+  explicit PromotionController(ControlBlackboard &Board) : m_Board(Board) {}
+
+  void onAnswered(const GroupCallAnswered &Event, ControlContext &Context);
+  void tick(ControlContext &Context);
+  CounterList counters() const;
+
+private:
+  enum class Step : uint8_t { Watch, ReadPositions, Promote, AwaitRole };
+
+  struct Candidate {
+    InstanceDescription m_Instance;
+    std::optional<Position> m_Received;
+    uint64_t m_Term = 0;
+    bool m_IsAwaited = false;
+  };
+  struct Group {
+    Step m_Step = Step::Watch;
+    Time m_StepSince;
+    /// No attempt begins before this moment.
+    Time m_NotBefore;
+    Time m_StartedAt;
+    std::string m_Reason;
+    std::optional<Time> m_WithoutPrimarySince;
+    std::map<InstanceName, Candidate> m_Candidates;
+    std::optional<InstanceName> m_Chosen;
+    /// Refused as a candidate until this moment.
+    std::map<InstanceName, Time> m_RefusedUntil;
+    uint64_t m_HighestTerm = 0;
+    bool m_IsSealing = false;
+  };
+  struct Call {
+    DatabaseName m_Database;
+    InstanceName m_Instance;
+    GroupCallKind m_Kind = GroupCallKind::ReadPosition;
+  };
+  /// Entries of one group in the directory.
+  using Members = std::vector<const InstanceDescription *>;
+
+  std::map<DatabaseName, Members> membersByDatabase() const;
+  void supervise(const DatabaseName &Name, const Members &Members,
+                 ControlContext &Context);
+  std::optional<std::string> reasonToPromote(Group &Group,
+                                             const DatabaseName &Name,
+                                             const Members &Members,
+                                             Time Now) const;
+  bool isReportedLost(const DatabaseName &Name,
+                      const InstanceDescription &Primary, Time Now) const;
+  uint32_t syncReplicasOf(const DatabaseName &Name) const;
+  void start(Group &Group, const DatabaseName &Name, const Members &Members,
+             const std::string &Reason, ControlContext &Context);
+  void readPositions(Group &Group, const DatabaseName &Name,
+                     ControlContext &Context);
+  void choose(Group &Group, const DatabaseName &Name, size_t Replicas,
+              ControlContext &Context);
+  void promote(Group &Group, const DatabaseName &Name,
+               ControlContext &Context);
+  void awaitRole(Group &Group, const DatabaseName &Name,
+                 const Members &Members, ControlContext &Context);
+  void endAttempt(Group &Group, Duration Pause, Time Now);
+  void enter(Group &Group, Step Step, Time Now);
+  GroupCallId send(const DatabaseName &Name, GroupCallKind Kind,
+                   const InstanceDescription &Instance, CallGroup Action,
+                   ControlContext &Context);
+
+  ControlBlackboard &m_Board;
+  uint64_t m_Term = 0;
+  uint64_t m_Attempts = 0;
+  uint64_t m_LastCall = 0;
+  std::map<GroupCallId, Call> m_Calls;
+  std::map<DatabaseName, Group> m_Groups;
+  Time m_SupervisedAt;
+  uint64_t m_Started = 0;
+  uint64_t m_Finished = 0;
+  uint64_t m_Abandoned = 0;
+};
+
+} // namespace almondpier
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -69,7 +69,9 @@
   m_Actions.push_back(
       SendMessage{Link, PollRequest{m_Host, m_Incarnation, m_Sequence, Base,
                                     m_Board.m_LiveHosts.m_Term,
-                                    m_Board.m_LiveHosts.m_Version}});
+                                    m_Board.m_LiveHosts.m_Version,
+                                    m_Board.m_Directory.m_Term,
+                                    m_Board.m_Directory.m_Version}});
 }
 
 void ConfigurationController::onReply(LinkId Link, const PollReply &Reply,
@@ -155,6 +157,7 @@
 }
 
 void ConfigurationController::learnLiveHosts(const PollReply &Reply) {
+  learnDirectory(Reply);
   if (!Reply.m_LiveHosts)
     return;
   const LiveHosts &Known = m_Board.m_LiveHosts;
@@ -165,6 +168,17 @@
   m_Changed = true;
 }
 
+void ConfigurationController::learnDirectory(const PollReply &Reply) {
+  if (!Reply.m_Directory)
+    return;
+  const InstanceDirectory &Known = m_Board.m_Directory;
+  if (std::pair(Reply.m_Directory->m_Term, Reply.m_Directory->m_Version) <=
+      std::pair(Known.m_Term, Known.m_Version))
+    return;
+  m_Board.m_Directory = *Reply.m_Directory;
+  m_Changed = true;
+}
+
 void ConfigurationController::learnMembers(const PollReply &Reply) {
   m_Leader.reset();
   for (const ControlMember &Member : Reply.m_ControlMembers)
--- a/src/decision/proxy/ConfigurationController.h
+++ b/src/decision/proxy/ConfigurationController.h
@@ -44,6 +44,7 @@
   void sendPoll(LinkId Link, Time Now);
   void learnMembers(const PollReply &Reply);
   void learnLiveHosts(const PollReply &Reply);
+  void learnDirectory(const PollReply &Reply);
   /// Each returns whether the configuration now holds what the reply proves.
   bool applySnapshot(const PollReply &Reply);
   bool applyChanges(const Poll &Answered, const PollReply &Reply);
--- a/src/decision/proxy/ProxyEvents.h
+++ b/src/decision/proxy/ProxyEvents.h
@@ -184,6 +184,7 @@
   /// when never proved.
   std::optional<Time> m_FreshAt;
   LiveHosts m_LiveHosts;
+  InstanceDirectory m_Directory;
 
   /// Written by the ownership controller: the first three ranked hosts of each
   /// database, the owner first.
--- /dev/null
+++ b/src/decision/session/GroupViews.h
@@ -0,0 +1,76 @@
+/// \file
+/// What this host knows of the database groups: which instance is primary, how
+/// recent its position is, and how the instances respond.
+#pragma once
+
+#include "decision/session/SessionEvents.h"
+
+namespace almondpier {
+
+/// Health of one instance as this host sees it.
+struct InstanceView {
+  /// No new work before this moment, after a failure.
+  Time m_AvoidUntil;
+  /// Lacked a required position; not chosen for reads before this moment.
+  Time m_LaggingUntil;
+  /// Refused to act as primary; not taken for one before this moment.
+  Time m_NotPrimaryUntil;
+  /// Any input from the instance.
+  Time m_HeardAt;
+  /// Since when every attempt to reach it failed.
+  std::optional<Time> m_FailingSince;
+  /// Moving average of the time for a statement, in milliseconds.
+  double m_LatencyMs = 0;
+};
+
+/// A position that the primary held at a moment.
+struct PrimarySample {
+  Position m_Position;
+  /// When the statement that proved the leadership of the instance was sent:
+  /// the position covers every commit acknowledged before.
+  Time m_TakenAt;
+};
+
+class GroupViews {
+public:
+  explicit GroupViews(const ProxyBlackboard &Board) : m_Board(Board) {}
+
+  /// The instance to take for the primary of a group; nothing when none is
+  /// known. An instance that departs counts until another one leads.
+  const InstanceDescription *primaryOf(const DatabaseName &Database,
+                                       Time Now) const;
+  /// Instances of a group that take new work.
+  std::vector<const InstanceDescription *>
+  readyMembers(const DatabaseName &Database) const;
+  const InstanceDescription *find(const InstanceName &Name) const;
+  /// The latest sample of the group, when it was taken after NotBefore.
+  const PrimarySample *sampleSince(const DatabaseName &Database,
+                                   Time NotBefore) const;
+
+  /// The instance proved that it led when it answered a statement sent at
+  /// SentAt.
+  void onLeadershipProved(const InstanceDescription &Instance,
+                          const std::optional<Position> &Held, Time SentAt);
+  void onNotPrimary(const InstanceName &Name, Time Now);
+  void onLagging(const InstanceName &Name, Time Now);
+  void onHeard(const InstanceName &Name, Time Now);
+  void onUnreachable(const InstanceName &Name, Time Now);
+  void onLatency(const InstanceName &Name, Duration Latency);
+  /// Forgets instances that left the directory, and follows new claims.
+  void onDirectoryChanged(Time Now);
+
+  InstanceView &viewOf(const InstanceName &Name) { return m_Views[Name]; }
+  const std::map<InstanceName, InstanceView> &views() const { return m_Views; }
+
+private:
+  struct Group {
+    std::optional<InstanceName> m_Primary;
+    std::optional<PrimarySample> m_Sample;
+  };
+
+  const ProxyBlackboard &m_Board;
+  std::map<DatabaseName, Group> m_Groups;
+  std::map<InstanceName, InstanceView> m_Views;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/session/SessionController.cpp
@@ -0,0 +1,556 @@
+#include "decision/session/SessionController.h"
+
+#include <algorithm>
+
+namespace almondpier {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Statements that a caller may send ahead of the answers.
+constexpr size_t kMaxQueuedStatements = 64;
+/// Names that a session may set or prepare; each costs memory while it lasts.
+constexpr size_t kMaxSessionNames = 256;
+constexpr Duration kExpiryInterval = milliseconds(50);
+/// The balancer asks for readiness every second and needs two refusals, so new
+/// sessions arrive for this long after readiness is gone.
+constexpr double kServeShare = 0.37;
+/// Open transactions get this share of the time for shutting down.
+constexpr double kTransactionShare = 0.5;
+/// The rest is for the process to end by itself.
+constexpr double kEndShare = 0.87;
+
+Duration shareOf(Duration Whole, double Share) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(Whole.count()) * Share));
+}
+
+bool isWrite(const Statement &Statement) {
+  return Statement.m_Kind == StatementKind::Write ||
+         (Statement.m_Kind == StatementKind::Execute && Statement.m_IsWrite);
+}
+
+CallerRequestId tokenRequestOf(const Session &Session) {
+  return CallerRequestId{Session.m_Id.m_Value};
+}
+
+} // namespace
+
+SessionController::SessionController(const SessionLimits &Limits,
+                                     ProxyBlackboard &Board,
+                                     TokenController &Tokens,
+                                     SessionActions &Actions)
+    : m_Limits(Limits), m_Board(Board), m_Tokens(Tokens), m_Actions(Actions),
+      m_Executor(Board, m_Sessions, Actions) {}
+
+bool SessionController::isFresh(Time Now) const {
+  return m_Board.m_FreshAt &&
+         Now - *m_Board.m_FreshAt <= m_Limits.m_FreshnessLimit &&
+         m_Board.m_Configuration.policy().m_Version > 0;
+}
+
+// Opening and ending.
+
+void SessionController::open(const SessionOpened &Event, Time Now) {
+  Session Opened;
+  Opened.m_Id = Event.m_Session;
+  Opened.m_Route = Event.m_Route;
+  Opened.m_Key = Event.m_Key;
+  Opened.m_LastActive = Now;
+  std::optional<SessionError> Refusal = admit(Opened, Now);
+  bool IsFull = m_Sessions.size() >= m_Limits.m_MaxSessions;
+  bool IsEnding = m_ShutdownAt && Now - *m_ShutdownAt >=
+                                      shareOf(m_Limits.m_ShutdownGrace,
+                                              kServeShare);
+  if (IsFull || IsEnding)
+    Refusal = SessionError::Busy;
+  if (Refusal) {
+    ++m_Refused;
+    act(ReportDecision{
+        "session refused: " + std::string(nameOf(*Refusal)) + ", route " +
+            Event.m_Route.m_Value + ", policy version " +
+            std::to_string(m_Board.m_Configuration.policy().m_Version),
+        true});
+    act(RefuseSession{Event.m_Session, *Refusal});
+    return;
+  }
+  ++m_Opened;
+  m_Sessions.emplace(Event.m_Session.m_Value, std::move(Opened));
+  act(AcceptSession{Event.m_Session});
+}
+
+std::optional<SessionError>
+SessionController::refusalOf(const Session &Session, Time Now) const {
+  if (!isFresh(Now))
+    return SessionError::Busy;
+  const Configuration &InForce = m_Board.m_Configuration;
+  auto Route = InForce.policy().m_Routes.find(Session.m_Route);
+  if (Route == InForce.policy().m_Routes.end())
+    return SessionError::UnknownDatabase;
+  const std::pair<const KeyId, KeyRecord> *Key =
+      Session.m_Key ? InForce.findKey(*Session.m_Key) : nullptr;
+  if (Key == nullptr)
+    return Route->second.m_AllowsAnonymous
+               ? std::nullopt
+               : std::optional<SessionError>(SessionError::UnknownKey);
+  // A key that moved to another organisation opens a new session.
+  if (!Session.m_Organisation.empty() &&
+      Key->second.m_Organisation != Session.m_Organisation)
+    return SessionError::UnknownKey;
+  return std::nullopt;
+}
+
+std::optional<SessionError> SessionController::admit(Session &Session,
+                                                     Time Now) {
+  if (std::optional<SessionError> Refusal = refusalOf(Session, Now))
+    return Refusal;
+  const Configuration &InForce = m_Board.m_Configuration;
+  Session.m_Policy = InForce.policy().m_Routes.at(Session.m_Route);
+  const std::pair<const KeyId, KeyRecord> *Key =
+      Session.m_Key ? InForce.findKey(*Session.m_Key) : nullptr;
+  // Instances are told who connects; "-" stands for a caller without a key.
+  Session.m_Organisation =
+      Key != nullptr ? Key->second.m_Organisation : OrganisationName{"-"};
+  return std::nullopt;
+}
+
+void SessionController::end(SessionId Id, Time Now) {
+  auto Found = m_Sessions.find(Id.m_Value);
+  if (Found == m_Sessions.end())
+    return;
+  Session &Session = Found->second;
+  if (Session.m_Task && Session.m_Task->m_IsWaitingForToken)
+    m_Tokens.stopWaiting(Session.m_Organisation, tokenRequestOf(Session));
+  // A statement in flight ends by itself: its connection is rolled back or
+  // released when the answer comes.
+  if (!Session.m_Task || !Session.m_Task->m_Connection)
+    m_Executor.rollBack(Session, Now);
+  m_Sessions.erase(Found);
+}
+
+// Statements.
+
+void SessionController::receive(const SessionStatement &Event, Time Now) {
+  auto Found = m_Sessions.find(Event.m_Session.m_Value);
+  if (Found == m_Sessions.end())
+    return;
+  Session &Session = Found->second;
+  Session.m_LastActive = Now;
+  if (Session.m_Queue.size() >= kMaxQueuedStatements) {
+    act(CloseSession{Session.m_Id});
+    return end(Session.m_Id, Now);
+  }
+  Session.m_Queue.push_back(ReceivedStatement{Event.m_Statement, Now});
+  startNext(Session, Now);
+}
+
+void SessionController::startNext(Session &Session, Time Now) {
+  while (!Session.m_Task && !Session.m_Queue.empty() && !Session.m_IsClosing) {
+    ReceivedStatement Next = std::move(Session.m_Queue.front());
+    Session.m_Queue.pop_front();
+    start(Session, std::move(Next), Now);
+  }
+}
+
+void SessionController::start(Session &Session, ReceivedStatement Received,
+                              Time Now) {
+  if (Session.m_State == TransactionState::Failed)
+    return startInFailedTransaction(Session, Received, Now);
+  switch (Received.m_Statement.m_Kind) {
+  case StatementKind::Begin:
+  case StatementKind::BeginReadOnly:
+    return startBegin(Session, Received, Now);
+  case StatementKind::Commit:
+  case StatementKind::Rollback:
+    return startEnd(Session, Received, Now);
+  case StatementKind::Read:
+  case StatementKind::Write:
+  case StatementKind::Execute:
+    return startData(Session, std::move(Received), Now);
+  case StatementKind::SetValue:
+    return startSetValue(Session, Received, Now);
+  case StatementKind::Prepare:
+    return startPrepare(Session, Received.m_Statement, Now);
+  case StatementKind::Deallocate:
+    return startDeallocate(Session, Received.m_Statement, Now);
+  case StatementKind::Reset:
+  case StatementKind::Invalid:
+    break;
+  }
+  answerError(Session, SessionError::Malformed, "unknown statement", Now);
+}
+
+void SessionController::startInFailedTransaction(
+    Session &Session, const ReceivedStatement &Received, Time Now) {
+  StatementKind Kind = Received.m_Statement.m_Kind;
+  if (Kind != StatementKind::Commit && Kind != StatementKind::Rollback)
+    return answerError(Session, SessionError::Malformed,
+                       "the transaction has failed; end it first", Now);
+  m_Executor.rollBack(Session, Now);
+  endTransaction(Session);
+  if (Kind == StatementKind::Rollback)
+    return answerLocally(Session, Now);
+  answerError(Session, SessionError::Aborted,
+              "the transaction had failed and was rolled back", Now);
+}
+
+void SessionController::startBegin(Session &Session,
+                                   const ReceivedStatement &Received,
+                                   Time Now) {
+  if (Session.m_State != TransactionState::None)
+    return answerError(Session, SessionError::Malformed,
+                       "a transaction is open", Now);
+  setTask(Session, Received, Now);
+  if (std::optional<SessionError> Refusal = admit(Session, Now)) {
+    Session.m_Task.reset();
+    return answerError(Session, *Refusal, "not admitted", Now);
+  }
+  waitForToken(Session, Now);
+}
+
+void SessionController::startEnd(Session &Session,
+                                 const ReceivedStatement &Received, Time Now) {
+  bool IsCommit = Received.m_Statement.m_Kind == StatementKind::Commit;
+  if (Session.m_State == TransactionState::None)
+    return IsCommit ? answerError(Session, SessionError::Malformed,
+                                  "no transaction is open", Now)
+                    : answerLocally(Session, Now);
+  // A rollback before the first statement concerns no instance.
+  if (!IsCommit && !Session.m_Pinned) {
+    endTransaction(Session);
+    return answerLocally(Session, Now);
+  }
+  startData(Session, Received, Now);
+}
+
+void SessionController::startData(Session &Session, ReceivedStatement Received,
+                                  Time Now) {
+  Statement &Main = Received.m_Statement;
+  if (Main.m_Kind == StatementKind::Execute) {
+    auto Prepared = Session.m_Prepared.find(Main.m_Name);
+    if (Prepared == Session.m_Prepared.end())
+      return answerError(Session, SessionError::UnknownStatement, Main.m_Name,
+                         Now);
+    Main.m_IsWrite = Prepared->second.m_IsWrite;
+  }
+  bool IsSingle = Session.m_State == TransactionState::None;
+  setTask(Session, std::move(Received), Now);
+  std::optional<SessionError> Refusal =
+      IsSingle ? admit(Session, Now) : refusalOf(Session, Now);
+  // A changed route holds from the next transaction on.
+  if (!IsSingle && Refusal == SessionError::UnknownDatabase)
+    Refusal.reset();
+  if (Refusal) {
+    Session.m_Task.reset();
+    abortTransaction(Session, Now);
+    return answerError(Session, *Refusal, "not admitted", Now);
+  }
+  Session.m_Task->m_IsSingle = IsSingle;
+  Session.m_Task->m_Target =
+      targetOf(Session, Session.m_Task->m_Received.m_Statement);
+  if (!IsSingle)
+    return m_Executor.submit(Session, Now);
+  Session.m_HasWritten = false;
+  Session.m_StatementsRun = 0;
+  waitForToken(Session, Now);
+}
+
+void SessionController::setTask(Session &Session, ReceivedStatement Received,
+                                Time Now) {
+  Task Started;
+  Started.m_Deadline = std::max(Received.m_ReceivedAt, Now) +
+                       milliseconds(Session.m_Policy.m_StatementTimeoutMs);
+  Started.m_Received = std::move(Received);
+  Session.m_Task = std::move(Started);
+}
+
+Target SessionController::targetOf(const Session &Session,
+                                   const Statement &Statement) const {
+  bool IsPrimaryRoute =
+      Session.m_Policy.m_Guarantee == ReadGuarantee::Primary;
+  if (Session.m_State != TransactionState::None) {
+    if (!Session.m_IsReadOnly)
+      return Target::Primary;
+    return IsPrimaryRoute ? Target::ProvedPrimary : Target::Recent;
+  }
+  if (isWrite(Statement))
+    return Target::Primary;
+  return IsPrimaryRoute ? Target::ProvedPrimary : Target::Recent;
+}
+
+void SessionController::startSetValue(Session &Session,
+                                      const ReceivedStatement &Received,
+                                      Time Now) {
+  const Statement &Set = Received.m_Statement;
+  if (Session.m_Values.size() >= kMaxSessionNames &&
+      !Session.m_Values.contains(Set.m_Name))
+    return answerError(Session, SessionError::TooLarge,
+                       "the session has too many values", Now);
+  // Connections receive the value before the next statement that runs on them.
+  Session.m_Values[Set.m_Name] = Set.m_Argument;
+  answerLocally(Session, Now);
+}
+
+void SessionController::startPrepare(Session &Session, const Statement &Received,
+                                     Time Now) {
+  if (Session.m_Prepared.size() >= kMaxSessionNames &&
+      !Session.m_Prepared.contains(Received.m_Name))
+    return answerError(Session, SessionError::TooLarge,
+                       "the session has too many prepared statements", Now);
+  Session.m_Prepared[Received.m_Name] =
+      PreparedStatement{Received.m_IsWrite, Received.m_Argument};
+  answerLocally(Session, Now);
+}
+
+void SessionController::startDeallocate(Session &Session,
+                                        const Statement &Received, Time Now) {
+  if (Session.m_Prepared.erase(Received.m_Name) == 0)
+    return answerError(Session, SessionError::UnknownStatement,
+                       Received.m_Name, Now);
+  answerLocally(Session, Now);
+}
+
+// Admission.
+
+void SessionController::waitForToken(Session &Session, Time Now) {
+  bool IsLimited = m_Board.m_Configuration.organisations().contains(
+      Session.m_Organisation);
+  if (!IsLimited || m_Tokens.take(Session.m_Organisation, Now))
+    return onAdmitted(Session, Now);
+  Session.m_Task->m_IsWaitingForToken = true;
+  m_Tokens.wait(Session.m_Organisation, tokenRequestOf(Session),
+                Session.m_Task->m_Deadline, Now);
+}
+
+void SessionController::onAdmitted(Session &Session, Time Now) {
+  Session.m_Task->m_IsWaitingForToken = false;
+  const Statement &Admitted = Session.m_Task->m_Received.m_Statement;
+  bool IsBegin = Admitted.m_Kind == StatementKind::Begin ||
+                 Admitted.m_Kind == StatementKind::BeginReadOnly;
+  if (!IsBegin)
+    return m_Executor.submit(Session, Now);
+  // The transaction begins at an instance with its first statement, so that no
+  // connection is held during the caller's pause before it.
+  Session.m_State = TransactionState::Open;
+  Session.m_IsReadOnly = Admitted.m_Kind == StatementKind::BeginReadOnly;
+  Session.m_StatementsRun = 0;
+  Session.m_HasWritten = false;
+  Session.m_TransactionSince = Session.m_Task->m_Received.m_ReceivedAt;
+  Session.m_BeginStatement = Admitted;
+  Session.m_Task.reset();
+  answerLocally(Session, Now);
+}
+
+void SessionController::settle(Time Now) {
+  for (const auto &[Id, Error] : m_Tokens.takeRefused(Now)) {
+    auto Found = m_Sessions.find(Id.m_Value);
+    if (Found == m_Sessions.end() || !Found->second.m_Task)
+      continue;
+    ++m_RateLimited;
+    Found->second.m_Task.reset();
+    answerError(Found->second, SessionError::Busy, Error.m_Message, Now);
+    startNext(Found->second, Now);
+  }
+  for (CallerRequestId Id : m_Tokens.takeServable(Now)) {
+    auto Found = m_Sessions.find(Id.m_Value);
+    if (Found == m_Sessions.end() || !Found->second.m_Task)
+      continue;
+    Session &Session = Found->second;
+    if (!m_Tokens.takeForWaiter(Session.m_Organisation, Now)) {
+      m_Tokens.wait(Session.m_Organisation, Id, Session.m_Task->m_Deadline,
+                    Now);
+      continue;
+    }
+    onAdmitted(Session, Now);
+    startNext(Session, Now);
+  }
+  m_Executor.dispatchWaiting(Now);
+  for (std::vector<StatementExecutor::Finished> Done =
+           m_Executor.takeFinished();
+       !Done.empty(); Done = m_Executor.takeFinished())
+    for (const StatementExecutor::Finished &Finished : Done)
+      onFinished(Finished, Now);
+}
+
+// Answers.
+
+void SessionController::answerLocally(Session &Session, Time Now) {
+  StatementReply Reply;
+  Reply.m_State = Session.m_State;
+  answer(Session, std::move(Reply), Now);
+}
+
+void SessionController::answerError(Session &Session, SessionError Error,
+                                    const std::string &Text, Time Now) {
+  StatementReply Reply;
+  Reply.m_Error = Error;
+  Reply.m_ErrorText = Text;
+  Reply.m_State = Session.m_State;
+  // The session itself is refused when its key or route is gone.
+  Session.m_IsClosing |= Error == SessionError::UnknownKey ||
+                         Error == SessionError::UnknownDatabase;
+  answer(Session, std::move(Reply), Now);
+}
+
+void SessionController::answer(Session &Session, StatementReply Reply,
+                               Time Now) {
+  ++m_Answered;
+  m_Failed += Reply.m_Error ? 1 : 0;
+  Session.m_LastActive = Now;
+  act(AnswerStatement{Session.m_Id, std::move(Reply)});
+}
+
+void SessionController::logOutcome(const Session &Session,
+                                   const StatementReply &Reply, Time Now) {
+  const Task &Task = *Session.m_Task;
+  bool IsFailure = Reply.m_Error.has_value();
+  if (!IsFailure && Task.m_Attempts == 0)
+    return;
+  Duration Age = m_Board.m_FreshAt ? Now - *m_Board.m_FreshAt : Duration{};
+  act(ReportDecision{
+      "request " + Task.m_Received.m_Statement.m_RequestId + ": " +
+          (IsFailure ? std::string(nameOf(*Reply.m_Error)) + " (" +
+                           Reply.m_ErrorText + ")"
+                     : "answered") +
+          ", organisation " + Session.m_Organisation.m_Value + ", route " +
+          Session.m_Route.m_Value + ", after " +
+          std::to_string((Now - Task.m_Received.m_ReceivedAt) /
+                         milliseconds(1)) +
+          " ms and " + std::to_string(Task.m_Attempts) +
+          " retries, last failure: " +
+          (Task.m_LastFailure.empty() ? "none" : Task.m_LastFailure) +
+          ", policy version " +
+          std::to_string(m_Board.m_Configuration.policy().m_Version) + " of " +
+          std::to_string(Age / milliseconds(1)) + " ms ago",
+      IsFailure});
+}
+
+void SessionController::onFinished(const StatementExecutor::Finished &Finished,
+                                   Time Now) {
+  auto Found = m_Sessions.find(Finished.m_Session.m_Value);
+  if (Found == m_Sessions.end() || !Found->second.m_Task)
+    return;
+  Session &Session = Found->second;
+  StatementReply Reply = Finished.m_Reply;
+  logOutcome(Session, Reply, Now);
+  StatementKind Kind = Session.m_Task->m_Received.m_Statement.m_Kind;
+  bool IsTransaction = Session.m_State != TransactionState::None;
+  Session.m_Task.reset();
+  if (IsTransaction && (Kind == StatementKind::Commit ||
+                        Kind == StatementKind::Rollback)) {
+    endTransaction(Session);
+    // A rollback that found no connection has nothing left to undo.
+    if (Kind == StatementKind::Rollback && Reply.m_Error)
+      Reply = StatementReply();
+    Reply.m_State = TransactionState::None;
+  } else if (IsTransaction) {
+    Session.m_State = Reply.m_State;
+  }
+  answer(Session, std::move(Reply), Now);
+  startNext(Session, Now);
+}
+
+void SessionController::abortTransaction(Session &Session, Time Now) {
+  if (Session.m_State == TransactionState::None)
+    return;
+  m_Executor.rollBack(Session, Now);
+  Session.m_State = TransactionState::Failed;
+}
+
+void SessionController::endTransaction(Session &Session) {
+  Session.m_State = TransactionState::None;
+  Session.m_IsReadOnly = false;
+  Session.m_HasWritten = false;
+  Session.m_StatementsRun = 0;
+}
+
+// Time.
+
+void SessionController::expire(Time Now) {
+  Duration IdleLimit =
+      milliseconds(m_Board.m_Configuration.policy().m_TransactionIdleMs);
+  std::vector<StatementExecutor::Finished> GivenUp;
+  for (auto &[Id, Session] : m_Sessions) {
+    if (Session.m_Task && Now >= Session.m_Task->m_Deadline &&
+        !Session.m_Task->m_IsWaitingForToken)
+      GivenUp.push_back({Session.m_Id, m_Executor.giveUp(Session, Now)});
+    else if (!Session.m_Task && Session.m_State == TransactionState::Open &&
+             Now - Session.m_LastActive >= IdleLimit)
+      abortTransaction(Session, Now);
+  }
+  for (const StatementExecutor::Finished &Finished : GivenUp)
+    onFinished(Finished, Now);
+}
+
+void SessionController::tick(Time Now) {
+  if (Now - m_ExpiredAt >= kExpiryInterval) {
+    m_ExpiredAt = Now;
+    expire(Now);
+  }
+  m_Executor.tick(Now);
+  std::vector<SessionId> Closing;
+  for (const auto &[Id, Session] : m_Sessions)
+    if (Session.m_IsClosing)
+      Closing.push_back(Session.m_Id);
+  for (SessionId Id : Closing) {
+    act(CloseSession{Id});
+    end(Id, Now);
+  }
+  continueShutdown(Now);
+}
+
+void SessionController::beginShutdown(Time Now) {
+  if (!m_ShutdownAt)
+    m_ShutdownAt = Now;
+}
+
+void SessionController::continueShutdown(Time Now) {
+  if (!m_ShutdownAt)
+    return;
+  Duration Elapsed = Now - *m_ShutdownAt;
+  if (Elapsed < shareOf(m_Limits.m_ShutdownGrace, kServeShare))
+    return;
+  bool EndTransactions =
+      Elapsed >= shareOf(m_Limits.m_ShutdownGrace, kTransactionShare);
+  std::vector<SessionId> Idle;
+  for (const auto &[Id, Session] : m_Sessions)
+    if (!Session.m_Task && Session.m_Queue.empty() &&
+        (Session.m_State == TransactionState::None || EndTransactions))
+      Idle.push_back(Session.m_Id);
+  for (SessionId Id : Idle) {
+    act(CloseSession{Id});
+    end(Id, Now);
+  }
+}
+
+bool SessionController::isShutdownComplete(Time Now) const {
+  if (!m_ShutdownAt)
+    return false;
+  Duration Elapsed = Now - *m_ShutdownAt;
+  return Elapsed >= shareOf(m_Limits.m_ShutdownGrace, kEndShare) ||
+         (m_Sessions.empty() &&
+          Elapsed >= shareOf(m_Limits.m_ShutdownGrace, kTransactionShare));
+}
+
+CounterList SessionController::counters() const {
+  CounterList Result{
+      {"almondpier_sessions", "Sessions that are open",
+       static_cast<double>(m_Sessions.size())},
+      {"almondpier_sessions_opened_total", "Sessions opened",
+       static_cast<double>(m_Opened)},
+      {"almondpier_sessions_refused_total", "Sessions refused",
+       static_cast<double>(m_Refused)},
+      {"almondpier_statements_answered_total", "Statements answered",
+       static_cast<double>(m_Answered)},
+      {"almondpier_statements_failed_total",
+       "Statements answered with an error", static_cast<double>(m_Failed)},
+      {"almondpier_operations_rate_limited_total",
+       "Operations refused for the rate of their organisation",
+       static_cast<double>(m_RateLimited)}};
+  for (Counter &Counter : m_Executor.counters())
+    Result.push_back(std::move(Counter));
+  return Result;
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/session/SessionCore.h
@@ -0,0 +1,36 @@
+/// \file
+/// All decisions of a proxy that serves sessions over a stateful wire protocol:
+/// admission, transactions, read guarantees, connections to instances.
+#pragma once
+
+#include "decision/proxy/ProxyCore.h"
+#include "decision/session/SessionController.h"
+
+namespace almondpier {
+
+class SessionCore {
+public:
+  /// m_Host.m_Forward of the options names the endpoint from which datagrams
+  /// are sent.
+  SessionCore(const ProxyOptions &Options, const SessionLimits &Limits,
+              Time Now);
+  ~SessionCore();
+  SessionCore(const SessionCore &) = delete;
+  SessionCore &operator=(const SessionCore &) = delete;
+
+  /// Handles an event and appends the actions it causes: towards sessions and
+  /// instances, and towards control hosts. Every statement of an accepted
+  /// session gets exactly one AnswerStatement unless the session ends first.
+  void handle(const SessionEvent &Event, Time Now, SessionActions &Actions,
+              ProxyActions &ControlActions);
+  /// Whether the host takes new sessions.
+  bool isReady(Time Now) const;
+  const ProxyBlackboard &blackboard() const;
+  CounterList counters() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> m_State;
+};
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/session/SessionEvents.cpp
@@ -0,0 +1,48 @@
+#include "decision/session/SessionEvents.h"
+
+namespace almondpier {
+
+std::string_view nameOf(SessionError Error) {
+  switch (Error) {
+  case SessionError::UnknownKey:
+    return "unknown key";
+  case SessionError::UnknownDatabase:
+    return "unknown database";
+  case SessionError::Malformed:
+    return "malformed";
+  case SessionError::UnknownStatement:
+    return "unknown prepared statement";
+  case SessionError::TooLarge:
+    return "too large";
+  case SessionError::Busy:
+    return "busy";
+  case SessionError::Aborted:
+    return "aborted";
+  case SessionError::Lagging:
+    return "lagging";
+  case SessionError::ReadOnly:
+    return "read only";
+  case SessionError::Misrouted:
+    return "misrouted";
+  case SessionError::TooManyConnections:
+    return "too many connections";
+  case SessionError::Failed:
+    return "failed";
+  case SessionError::TimedOut:
+    return "timed out";
+  case SessionError::OutcomeUnknown:
+    return "outcome unknown";
+  case SessionError::Other:
+    return "other error";
+  }
+  return "other error";
+}
+
+bool saysNotRun(SessionError Error) {
+  return Error == SessionError::Busy || Error == SessionError::Aborted ||
+         Error == SessionError::Lagging || Error == SessionError::ReadOnly ||
+         Error == SessionError::Misrouted ||
+         Error == SessionError::TooManyConnections;
+}
+
+} // namespace almondpier
--- /dev/null
+++ b/src/decision/session/StatementExecutor.h
@@ -0,0 +1,100 @@
+/// \file
+/// Runs the statements of sessions at instances.
+#pragma once
+
+#include "decision/session/Session.h"
+
+namespace almondpier {
+
+/// Chooses an instance and a connection for each statement, brings the
+/// connection into the state of the session, and repeats elsewhere what provably
+/// did not run. A write or commit is never sent twice.
+class StatementExecutor {
+public:
+  struct Finished {
+    SessionId m_Session;
+    StatementReply m_Reply;
+  };
+
+  StatementExecutor(ProxyBlackboard &Board, SessionTable &Sessions,
+                    SessionActions &Actions)
+      : m_Board(Board), m_Sessions(Sessions), m_Actions(Actions),
+        m_Views(Board), m_Pool(Board, Actions) {}
+
+  /// Runs Session.m_Task, which is set.
+  void submit(Session &Session, Time Now);
+  /// Gives up the task because the caller is gone or its deadline has passed,
+  /// and returns what can be said of it.
+  StatementReply giveUp(Session &Session, Time Now);
+  /// Rolls back the open transaction; nobody waits for the answer.
+  void rollBack(Session &Session, Time Now);
+
+  void onConnected(const InstanceConnected &Event, Time Now);
+  void onRefused(const InstanceRefused &Event, Time Now);
+  void onReplied(const InstanceReplied &Event, Time Now);
+  void onClosed(ConnectionId Id, Time Now);
+  void onDirectoryChanged(Time Now) { m_Views.onDirectoryChanged(Now); }
+  /// Sends waiting statements for which there is a connection now.
+  void dispatchWaiting(Time Now);
+  void tick(Time Now);
+  std::vector<Finished> takeFinished() { return std::move(m_Finished); }
+
+  const InstancePool &pool() const { return m_Pool; }
+  CounterList counters() const;
+
+private:
+  /// What one attempt needs of the instance.
+  struct Requirement {
+    Target m_Target = Target::Primary;
+    std::optional<Position> m_NotBefore;
+  };
+
+  void wait(Session &Session, Time Now);
+  /// Returns whether the task found a connection.
+  bool dispatch(Session &Session, Time Now);
+  Requirement requirementOf(const Session &Session) const;
+  const InstanceDescription *choose(const Session &Session,
+                                    const Requirement &Needed, Time Now);
+  /// Sends the next statement that brings the task forward.
+  void advance(Session &Session, InstanceConnection &Connection, Time Now);
+  bool synchronise(Session &Session, InstanceConnection &Connection, Time Now);
+  void sendBegin(Session &Session, InstanceConnection &Connection,
+                 const Requirement &Needed, Time Now);
+  void sendMain(Session &Session, InstanceConnection &Connection,
+                const Requirement &Needed, Time Now);
+  void onMainReplied(Session &Session, InstanceConnection &Connection,
+                     StatementReply Reply, Time Now);
+  void onBeginReplied(Session &Session, InstanceConnection &Connection,
+                      const StatementReply &Reply, Time Now);
+  void onOrphanReplied(InstanceConnection &Connection, Time Now);
+  void noteError(const InstanceConnection &Connection, SessionError Error,
+                 Time Now);
+  /// Returns the connection to the pool, after a rollback when one is due.
+  void letGo(InstanceConnection &Connection, Time Now);
+  /// Tries the task again elsewhere, or ends it when that is no use.
+  void retry(Session &Session, const InstanceName &Failed,
+             const std::string &Why, SessionError Error, Time Now);
+  void finish(Session &Session, StatementReply Reply);
+  /// Ends the task and the transaction that it belongs to.
+  void fail(Session &Session, SessionError Error, const std::string &Text);
+  /// What is true of a statement whose connection is gone.
+  SessionError errorAfterLoss(const Session &Session) const;
+  void closeSilent(Time Now);
+  void report(Time Now);
+
+  ProxyBlackboard &m_Board;
+  SessionTable &m_Sessions;
+  SessionActions &m_Actions;
+  GroupViews m_Views;
+  InstancePool m_Pool;
+  /// Sessions whose task waits for a connection, in order of arrival.
+  std::deque<SessionId> m_Waiting;
+  std::vector<Finished> m_Finished;
+  Time m_TrimmedAt;
+  Time m_ReportedAt;
+  uint64_t m_Retries = 0;
+  uint64_t m_ReplicaReads = 0;
+  uint64_t m_ProvedReads = 0;
+};
+
+} // namespace almondpier
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -175,7 +175,35 @@
     Database.m_Spares.erase(Spare);
   }
 
+  void operator()(const InstallPolicy &Body) {
+    if (Body.m_Policy.m_Version <= m_Target.m_Policy.m_Version)
+      return;
+    m_Target.m_Policy = Body.m_Policy;
+    m_Target.m_Organisations.clear();
+    m_Target.m_Keys.clear();
+    m_Target.m_KeyByDigest.clear();
+    for (Preset &Preset : m_Target.m_Presets)
+      Preset.m_Limits.clear();
+    for (const auto &[Name, Organisation] : Body.m_Policy.m_Organisations)
+      installOrganisation(Name, Organisation);
+  }
+
 private:
+  /// The limit of the document holds in every preset.
+  void installOrganisation(const OrganisationName &Name,
+                           const OrganisationPolicy &Organisation) {
+    m_Target.m_Organisations.insert(Name);
+    for (Preset &Preset : m_Target.m_Presets)
+      Preset.m_Limits[Name] = Organisation.m_Limit;
+    for (const KeyDigest &Digest : Organisation.m_Keys) {
+      KeyId Id{toHex(std::string_view(
+          reinterpret_cast<const char *>(Digest.m_Bytes.data()),
+          Digest.m_Bytes.size()))};
+      m_Target.m_KeyByDigest[Digest] = Id;
+      m_Target.m_Keys[Id] = KeyRecord{Name, Digest};
+    }
+  }
+
   static void checkName(const std::string &Name) {
     if (!isValidName(Name))
       throw Error(ErrorKind::BadRequest,
@@ -246,6 +274,7 @@
          !std::holds_alternative<BeginTerm>(Body) &&
          !std::holds_alternative<ElectPrimary>(Body) &&
          !std::holds_alternative<AdmitInstance>(Body) &&
+         !std::holds_alternative<InstallPolicy>(Body) &&
          !std::holds_alternative<RecordMembership>(Body);
 }
 
@@ -307,6 +336,9 @@
     return "admit instance " + Body.m_Instance.m_Value + " to database " +
            Body.m_Database.m_Value;
   }
+  std::string operator()(const InstallPolicy &Body) const {
+    return "install policy version " + std::to_string(Body.m_Policy.m_Version);
+  }
 };
 
 } // namespace
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -1,6 +1,8 @@
 #include "net/LibeventHandles.h"
 
+#include <algorithm>
 #include <csignal>
+#include <ctime>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -37,6 +39,21 @@
   setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &Enabled, sizeof(Enabled));
 }
 
+void detectSilence(evutil_socket_t Socket, uint32_t TimeoutMs) {
+  constexpr uint32_t kMillisecondsPerSecond = 1'000;
+  int Enabled = 1;
+  int IdleSeconds =
+      std::max(1, static_cast<int>(TimeoutMs / kMillisecondsPerSecond));
+  int IntervalSeconds = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &Enabled, sizeof(Enabled));
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPIDLE, &IdleSeconds,
+             sizeof(IdleSeconds));
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPINTVL, &IntervalSeconds,
+             sizeof(IntervalSeconds));
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &TimeoutMs,
+             sizeof(TimeoutMs));
+}
+
 uint64_t randomNumber() {
   uint64_t Value = 0;
   randombytes_buf(&Value, sizeof(Value));
@@ -71,8 +88,14 @@
 void EventLoop::stop() { event_base_loopbreak(m_Base); }
 
 Time EventLoop::now() const {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  // The steady clock stops while the machine is suspended; leases, loans and
+  // proofs of freshness must not outlive a suspension.
+  constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
+  constexpr int64_t kNanosecondsPerMicrosecond = 1'000;
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return Time(Duration(Now.tv_sec * kMicrosecondsPerSecond +
+                       Now.tv_nsec / kNanosecondsPerMicrosecond));
 }
 
 struct Timer::State {
--- a/src/net/LibeventHandles.h
+++ b/src/net/LibeventHandles.h
@@ -36,6 +36,9 @@
 Endpoint fromSocketAddress(const sockaddr_in &Value);
 /// Disables Nagle's algorithm, which would delay small messages by up to 40 ms.
 void disableNagle(evutil_socket_t Socket);
+/// Ends a connection whose peer acknowledges nothing for so long, also while it
+/// is idle; a partition gives no other sign.
+void detectSilence(evutil_socket_t Socket, uint32_t TimeoutMs);
 uint64_t randomNumber();
 
 } // namespace almondpier
--- a/src/net/Link.cpp
+++ b/src/net/Link.cpp
@@ -18,6 +18,8 @@
 /// bound.
 constexpr size_t kMaxPendingBytes = 16U << 20U;
 constexpr std::chrono::seconds kHandshakeTimeout{2};
+/// Both sides send pings more often than this.
+constexpr uint32_t kSilenceTimeoutMs = 2'000;
 
 enum class Role : uint8_t { Connector, Acceptor };
 
@@ -88,6 +90,8 @@
 
   void adopt(bufferevent *Connection) {
     m_Connection.reset(Connection);
+    if (evutil_socket_t Socket = bufferevent_getfd(Connection); Socket >= 0)
+      detectSilence(Socket, kSilenceTimeoutMs);
     bufferevent_setcb(
         Connection,
         [](bufferevent * /*Source*/, void *Context) {
@@ -105,6 +109,7 @@
   void onEvent(short Events) {
     if ((Events & BEV_EVENT_CONNECTED) != 0) {
       disableNagle(bufferevent_getfd(m_Connection.get()));
+      detectSilence(bufferevent_getfd(m_Connection.get()), kSilenceTimeoutMs);
       return;
     }
     int Code = EVUTIL_SOCKET_ERROR();
--- a/src/proxy/ProxyLinks.cpp
+++ b/src/proxy/ProxyLinks.cpp
@@ -5,8 +5,8 @@
 namespace almondpier {
 
 ProxyLinks::ProxyLinks(EventLoop &Loop, const FleetSecret &Secret,
-                       const Endpoint &Local, ProxyDispatcher &Events)
-    : m_Loop(Loop), m_Secret(Secret), m_Events(Events),
+                       const Endpoint &Local, OnEvent Dispatch)
+    : m_Loop(Loop), m_Secret(Secret), m_Dispatch(std::move(Dispatch)),
       m_Listener(Loop, Secret, Local,
                  [this](std::unique_ptr<Link> Accepted) {
                    accept(std::move(Accepted));
@@ -21,10 +21,10 @@
   return Link::Callbacks{
       [this, Id] {
         m_Links.at(Id.m_Value).m_WasUp = true;
-        m_Events.dispatch(LinkOpened{Id});
+        m_Dispatch(LinkOpened{Id});
       },
       [this, Id](Message Received) {
-        m_Events.dispatch(MessageReceived{Id, std::move(Received)});
+        m_Dispatch(MessageReceived{Id, std::move(Received)});
       },
       [this, Id](const std::string &Reason) { onDown(Id, Reason); }};
 }
@@ -59,7 +59,7 @@
   if (Ended.m_WasUp && Ended.m_Peer)
     writeLog(LogLevel::Warning,
              "link to " + formatEndpoint(*Ended.m_Peer) + " failed: " + Reason);
-  m_Events.dispatch(LinkClosed{Id, Reason});
+  m_Dispatch(LinkClosed{Id, Reason});
 }
 
 void ProxyLinks::close(const CloseLink &Action) {
--- a/src/proxy/ProxyLinks.h
+++ b/src/proxy/ProxyLinks.h
@@ -2,7 +2,8 @@
 /// Links to and from other processes.
 #pragma once
 
-#include "proxy/ProxyDispatcher.h"
+#include "almondpier/Net.h"
+#include "decision/proxy/ProxyEvents.h"
 
 #include <unordered_map>
 
@@ -10,8 +11,11 @@
 
 class ProxyLinks {
 public:
+  /// Takes LinkOpened, LinkClosed and MessageReceived events.
+  using OnEvent = std::function<void(ProxyEvent)>;
+
   ProxyLinks(EventLoop &Loop, const FleetSecret &Secret, const Endpoint &Local,
-             ProxyDispatcher &Events);
+             OnEvent Dispatch);
 
   void open(const OpenLink &Action);
   void close(const CloseLink &Action);
@@ -36,7 +40,7 @@
 
   EventLoop &m_Loop;
   FleetSecret m_Secret;
-  ProxyDispatcher &m_Events;
+  OnEvent m_Dispatch;
   std::unordered_map<uint64_t, Entry> m_Links;
   std::vector<std::unique_ptr<Link>> m_Closed;
   uint64_t m_LastEven = 0;
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -1,6 +1,7 @@
 #include "almondpier/Telemetry.h"
 
 #include <iostream>
+#include <utility>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -70,7 +71,7 @@
       " program=" + std::string(Program) + " host=" + std::string(Host);
   boost::shared_ptr<Backend> Target = boost::make_shared<Backend>();
   Target->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+      boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
   Target->auto_flush(true);
   boost::shared_ptr<Sink> Output = boost::make_shared<Sink>(Target);
   Output->set_formatter([Origin](const boost::log::record_view &Record,
@@ -86,6 +87,28 @@
   boost::log::core::get()->add_sink(Output);
 }
 
+bool LogBudget::take(Time Now, bool IsFailure) {
+  // A line takes about 20 us, so the budget is a thousandth of a core.
+  constexpr uint32_t kLinesPerSecond = 50;
+  if (Now - m_SecondBegan >= std::chrono::seconds(1)) {
+    m_SecondBegan = Now;
+    m_Written = 0;
+  }
+  if (m_Written >= (IsFailure ? kLinesPerSecond : kLinesPerSecond / 2)) {
+    ++m_Dropped;
+    return false;
+  }
+  ++m_Written;
+  return true;
+}
+
+uint64_t LogBudget::takeDropped(Time Now) {
+  if (m_Dropped == 0 || Now - m_ReportedAt < std::chrono::seconds(1))
+    return 0;
+  m_ReportedAt = Now;
+  return std::exchange(m_Dropped, 0);
+}
+
 void writeLog(LogLevel Level, std::string_view Text) {
   boost::log::record Record =
       logger().open_record(boost::log::keywords::severity = Level);
