Count limits over the window of the contract

Cause: with a lowered rate, 1,278 attempts of one organisation were refused although the window of the contract had room; waiters were refused after 250 ms whatever their latency target. Change: a third of the burst is lent at once and the rest counts as rate; a wait for a token ends after a fifth of the route's target latency.

--- a/src/decision/control/AllocatorController.cpp
+++ b/src/decision/control/AllocatorController.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration kMaxValidity = std::chrono::milliseconds(300);
 constexpr size_t kMaxPending = 2'000;
 constexpr double kMicrosPerSecond = 1e6;
 constexpr double kMsPerSecond = 1e3;
@@ -20,7 +19,7 @@
 } // namespace
 
 LendingTerms lendingTermsOf(const Limit &Limit) {
-  double Seconds = std::min(secondsOf(kMaxValidity),
+  double Seconds = std::min(secondsOf(kMaxLoanValidity),
                             (Limit.m_Burst - 1) / Limit.m_RatePerSecond);
   LendingTerms Terms;
   Terms.m_Validity =
--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -63,8 +63,10 @@
 }
 
 void TokenController::wait(const OrganisationName &Organisation,
-                           CallerRequestId Id, Time Deadline, Time Now) {
-  m_Accounts[Organisation].m_Waiters.push_back(Waiter{Id, Now, Deadline});
+                           CallerRequestId Id, Time Deadline, Time Now,
+                           Duration Patience) {
+  m_Accounts[Organisation].m_Waiters.push_back(
+      Waiter{Id, Now, Deadline, Patience});
   ++m_WaitingCount;
   askAtOnce(Now);
 }
@@ -104,7 +106,7 @@
                        Now - *Account.m_ShortAskSentAt <= kRecentAnswer;
   bool IsLeaderNew =
       m_LeaderChangedAt && Now - *m_LeaderChangedAt < kLeaderChangeWindow;
-  Duration Patience = IsLeaderNew ? kLeaderWait : kTokenWait;
+  Duration Patience = IsLeaderNew ? kLeaderWait : Waiter.m_Patience;
   if (LeaderAnswers && (Waited >= Patience || Now >= Waiter.m_Deadline))
     return ErrorReport{ErrorKind::RateLimited,
                        "the organisation is above its rate", Ran::No,
--- a/src/decision/proxy/TokenController.h
+++ b/src/decision/proxy/TokenController.h
@@ -33,8 +33,9 @@
   bool take(const OrganisationName &Organisation, Time Now);
   /// Spends a token for a request that takeServable() returned.
   bool takeForWaiter(const OrganisationName &Organisation, Time Now);
+  /// Patience is how long the request waits while the leader has no token.
   void wait(const OrganisationName &Organisation, CallerRequestId Id,
-            Time Deadline, Time Now);
+            Time Deadline, Time Now, Duration Patience = kTokenWait);
   void stopWaiting(const OrganisationName &Organisation, CallerRequestId Id);
   /// Removes from the queues the requests for which there are tokens now, in
   /// order of arrival.
@@ -68,6 +69,7 @@
     CallerRequestId m_Id;
     Time m_Since;
     Time m_Deadline;
+    Duration m_Patience{};
   };
   struct Account {
     /// Soonest to expire first.
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -35,6 +35,17 @@
   return CallerRequestId{Session.m_Id.m_Value};
 }
 
+/// A caller above its rate learns it early enough to come back in time.
+Duration patienceOf(const Session &Session) {
+  constexpr uint32_t kShareOfTarget = 5;
+  return Session.m_Policy.m_TargetLatencyMs == 0
+             ? kTokenWait
+             : std::min<Duration>(kTokenWait,
+                                  milliseconds(
+                                      Session.m_Policy.m_TargetLatencyMs /
+                                      kShareOfTarget));
+}
+
 } // namespace
 
 SessionController::SessionController(const SessionLimits &Limits,
@@ -320,7 +331,7 @@
     return onAdmitted(Session, Now);
   Session.m_Task->m_IsWaitingForToken = true;
   m_Tokens.wait(Session.m_Organisation, tokenRequestOf(Session),
-                Session.m_Task->m_Deadline, Now);
+                Session.m_Task->m_Deadline, Now, patienceOf(Session));
 }
 
 void SessionController::onAdmitted(Session &Session, Time Now) {
@@ -348,6 +359,10 @@
     if (Found == m_Sessions.end() || !Found->second.m_Task)
       continue;
     ++m_RateLimited;
+    StatementReply Refusal;
+    Refusal.m_Error = SessionError::Busy;
+    Refusal.m_ErrorText = Error.m_Message;
+    logOutcome(Found->second, Refusal, Now);
     Found->second.m_Task.reset();
     answerError(Found->second, SessionError::Busy, Error.m_Message, Now);
     startNext(Found->second, Now);
@@ -359,7 +374,7 @@
     Session &Session = Found->second;
     if (!m_Tokens.takeForWaiter(Session.m_Organisation, Now)) {
       m_Tokens.wait(Session.m_Organisation, Id, Session.m_Task->m_Deadline,
-                    Now);
+                    Now, patienceOf(Session));
       continue;
     }
     onAdmitted(Session, Now);
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -1,5 +1,7 @@
 #include "almondpier/Model.h"
 
+#include <algorithm>
+
 namespace almondpier {
 
 const std::pair<const KeyId, KeyRecord> *
@@ -17,6 +19,22 @@
   return Found == m_Databases.end() ? nullptr : &Found->second;
 }
 
+Limit spreadOver(const Limit &Counted, Duration Window) {
+  // A third of the burst covers the uneven arrival at many hosts.
+  constexpr double kShareAtOnce = 1.0 / 3;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  double Seconds = static_cast<double>(Window.count()) / kMicrosecondsPerSecond;
+  if (Seconds <= 0)
+    return Counted;
+  double AtOnce = std::max(1.0, Counted.m_Burst * kShareAtOnce);
+  double Rest = std::max(0.0, Counted.m_Burst - AtOnce);
+  double Rate = Counted.m_RatePerSecond + Rest / Seconds;
+  // The allocator keeps back what may be in use at hosts.
+  double InUse = Rate * static_cast<double>(kMaxLoanValidity.count()) /
+                 kMicrosecondsPerSecond;
+  return Limit{Rate, AtOnce + InUse};
+}
+
 /// Applies one change body to a configuration; throws Error and changes nothing
 /// when the change is refused.
 class ChangeApplier {
