Keep the session open when its key is revoked inside a transaction

Ruled out: an answer lost on the way (the refusal was logged). Change: the session stays open and each further operation is refused; refusals and their request are logged.

--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -61,6 +61,8 @@
   std::deque<ReceivedStatement> m_Queue;
   std::optional<Task> m_Task;
   Time m_LastActive;
+  /// Request that was started last, for the log.
+  std::string m_LastRequestId;
 
   TransactionState m_State = TransactionState::None;
   bool m_IsReadOnly = false;
@@ -78,7 +80,6 @@
   std::map<std::string, PreparedStatement> m_Prepared;
   /// Position of the session's last commit.
   Position m_LastCommit;
-  bool m_IsClosing = false;
 };
 
 using SessionTable = std::unordered_map<uint64_t, Session>;
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -157,7 +157,7 @@
 }
 
 void SessionController::startNext(Session &Session, Time Now) {
-  while (!Session.m_Task && !Session.m_Queue.empty() && !Session.m_IsClosing) {
+  while (!Session.m_Task && !Session.m_Queue.empty()) {
     ReceivedStatement Next = std::move(Session.m_Queue.front());
     Session.m_Queue.pop_front();
     start(Session, std::move(Next), Now);
@@ -166,6 +166,7 @@
 
 void SessionController::start(Session &Session, ReceivedStatement Received,
                               Time Now) {
+  Session.m_LastRequestId = Received.m_Statement.m_RequestId;
   if (Session.m_State == TransactionState::Failed)
     return startInFailedTransaction(Session, Received, Now);
   switch (Received.m_Statement.m_Kind) {
@@ -359,10 +360,6 @@
     if (Found == m_Sessions.end() || !Found->second.m_Task)
       continue;
     ++m_RateLimited;
-    StatementReply Refusal;
-    Refusal.m_Error = SessionError::Busy;
-    Refusal.m_ErrorText = Error.m_Message;
-    logOutcome(Found->second, Refusal, Now);
     Found->second.m_Task.reset();
     answerError(Found->second, SessionError::Busy, Error.m_Message, Now);
     startNext(Found->second, Now);
@@ -402,9 +399,15 @@
   Reply.m_Error = Error;
   Reply.m_ErrorText = Text;
   Reply.m_State = Session.m_State;
-  // The session itself is refused when its key or route is gone.
-  Session.m_IsClosing |= Error == SessionError::UnknownKey ||
-                         Error == SessionError::UnknownDatabase;
+  act(ReportDecision{
+      "request " + Session.m_LastRequestId + " refused: " +
+          std::string(nameOf(Error)) + " (" + Text + "), organisation " +
+          Session.m_Organisation.m_Value + ", route " +
+          Session.m_Route.m_Value + ", policy version " +
+          std::to_string(m_Board.m_Configuration.policy().m_Version),
+      true});
+  // A session whose key or route is gone stays open: its caller may still have
+  // to end a transaction, and each further operation is refused.
   answer(Session, std::move(Reply), Now);
 }
 
@@ -504,14 +507,6 @@
     expire(Now);
   }
   m_Executor.tick(Now);
-  std::vector<SessionId> Closing;
-  for (const auto &[Id, Session] : m_Sessions)
-    if (Session.m_IsClosing)
-      Closing.push_back(Session.m_Id);
-  for (SessionId Id : Closing) {
-    act(CloseSession{Id});
-    end(Id, Now);
-  }
   continueShutdown(Now);
 }
 
