Bound the load on refusing instances; publish one primary per group

A primary behind a partition kept its claim in the directory, so hosts went on using it after the promotion. Ruled out: the election (1 s). Change: the share of connections counts registered hosts; a concurrency limit and a pause for each instance; retries limited to a fifth of the statements; the latest claim to be primary counts; reads ask for the oldest sufficient position.

--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -35,6 +35,19 @@
   return false;
 }
 
+bool DirectoryController::isClaimOutdated(
+    const InstanceDescription &Instance) const {
+  auto ClaimOf = [&](const InstanceName &Name) {
+    auto Seen = m_Boots.find(Name);
+    return Seen == m_Boots.end() ? Time() : Seen->second.m_ClaimedAt;
+  };
+  for (const auto &[Name, Other] : m_Entries)
+    if (Other.m_IsPrimary && Other.m_Database == Instance.m_Database &&
+        ClaimOf(Name) > ClaimOf(Instance.m_Name))
+      return true;
+  return false;
+}
+
 void DirectoryController::dropOthersAt(const InstanceDescription &Instance) {
   size_t Dropped = std::erase_if(m_Entries, [&](const auto &Entry) {
     return Entry.second.m_Statements == Instance.m_Statements &&
@@ -67,6 +80,8 @@
     return;
   dropOthersAt(Instance);
   auto [Entry, IsNew] = m_Entries.try_emplace(Instance.m_Name, Instance);
+  if (Instance.m_IsPrimary && (IsNew || !Entry->second.m_IsPrimary))
+    Seen.m_ClaimedAt = Context.m_Now;
   if (IsNew || Entry->second != Instance) {
     m_IsChanged = true;
     Context.reportStateChange(
@@ -132,8 +147,11 @@
   bool IsOwn = Published.m_Term == m_Board.m_Term && Published.m_Version > 0;
   std::vector<InstanceDescription> Instances;
   Instances.reserve(m_Entries.size());
-  for (const auto &[Name, Entry] : m_Entries)
+  for (const auto &[Name, Entry] : m_Entries) {
     Instances.push_back(Entry);
+    if (Entry.m_IsPrimary && isClaimOutdated(Entry))
+      Instances.back().m_IsPrimary = false;
+  }
   uint64_t Version = IsOwn ? Published.m_Version + 1 : 1;
   Published =
       InstanceDirectory{m_Board.m_Term, Version, std::move(Instances)};
--- a/src/decision/control/DirectoryController.h
+++ b/src/decision/control/DirectoryController.h
@@ -30,10 +30,15 @@
     uint64_t m_Sequence = 0;
     bool m_HasLeft = false;
     Time m_HeardAt;
+    /// When the instance began to claim that it is primary.
+    Time m_ClaimedAt;
   };
 
   bool isLate(const InstanceCheckIn &CheckIn) const;
   bool isAddressTaken(const InstanceDescription &Instance) const;
+  /// Whether another member of the group began to claim the role of primary
+  /// later. A primary that is cut off cannot withdraw its claim.
+  bool isClaimOutdated(const InstanceDescription &Instance) const;
   void dropOthersAt(const InstanceDescription &Instance);
   void beginTermIfNew(ControlContext &Context);
   void publish(ControlContext &Context);
--- a/src/decision/session/GroupViews.cpp
+++ b/src/decision/session/GroupViews.cpp
@@ -16,7 +16,18 @@
 /// A refused primary is tried again after this time, unless the directory names
 /// another one.
 constexpr Duration kNotPrimaryPause = milliseconds(250);
+/// Samples are kept a little longer than the largest age that routes accept as
+/// a rule; a route that accepts more uses a younger one than it could.
+constexpr Duration kSampleMemory = milliseconds(6'000);
+constexpr Duration kSampleSpacing = milliseconds(50);
 constexpr double kNewLatencyShare = 0.1;
+/// An instance that refuses is left alone for the time of a short statement at
+/// first, and for about as many statements as its queue holds at most.
+constexpr Duration kMinOverloadPause = milliseconds(8);
+constexpr Duration kMaxOverloadPause = milliseconds(160);
+constexpr double kMinConcurrency = 1;
+constexpr double kMaxConcurrency = 64;
+constexpr double kConcurrencyDecrease = 0.5;
 constexpr double kMicrosecondsPerMillisecond = 1'000;
 
 } // namespace
@@ -66,27 +77,41 @@
 const PrimarySample *GroupViews::sampleSince(const DatabaseName &Database,
                                              Time NotBefore) const {
   auto Group = m_Groups.find(Database);
-  if (Group == m_Groups.end() || !Group->second.m_Sample ||
-      Group->second.m_Sample->m_TakenAt < NotBefore)
+  if (Group == m_Groups.end())
     return nullptr;
-  return &*Group->second.m_Sample;
+  const std::deque<PrimarySample> &Samples = Group->second.m_Samples;
+  auto Found = std::lower_bound(Samples.begin(), Samples.end(), NotBefore,
+                                [](const PrimarySample &Sample, Time Wanted) {
+                                  return Sample.m_TakenAt < Wanted;
+                                });
+  return Found == Samples.end() ? nullptr : &*Found;
 }
 
 void GroupViews::onLeadershipProved(const InstanceDescription &Instance,
                                     const std::optional<Position> &Held,
-                                    Time SentAt) {
+                                    Time SentAt, Time Now) {
   Group &Group = m_Groups[Instance.m_Database];
   Group.m_Primary = Instance.m_Name;
   m_Views[Instance.m_Name].m_NotPrimaryUntil = Time();
   if (!Held)
     return;
-  // A higher position of the same or a later term holds all of an older sample.
-  if (!Group.m_Sample || Group.m_Sample->m_Position < *Held)
-    Group.m_Sample = PrimarySample{
-        *Held, Group.m_Sample ? std::max(Group.m_Sample->m_TakenAt, SentAt)
-                              : SentAt};
-  else if (Group.m_Sample->m_Position == *Held)
-    Group.m_Sample->m_TakenAt = std::max(Group.m_Sample->m_TakenAt, SentAt);
+  std::deque<PrimarySample> &Samples = Group.m_Samples;
+  // A higher position of the same or a later term holds all of a lower one, so
+  // a lower position that was seen later adds nothing but its time.
+  Position Highest = *Held;
+  if (!Samples.empty()) {
+    // Positions before a change of primary may have been rolled back.
+    if (Samples.back().m_Position.m_Term < Held->m_Term)
+      Samples.clear();
+    else
+      Highest = std::max(Highest, Samples.back().m_Position);
+  }
+  while (!Samples.empty() && Now - Samples.front().m_TakenAt > kSampleMemory)
+    Samples.pop_front();
+  bool IsSpaced = Samples.empty() ||
+                  SentAt - Samples.back().m_TakenAt >= kSampleSpacing;
+  if (IsSpaced)
+    Samples.push_back(PrimarySample{Highest, SentAt});
 }
 
 void GroupViews::onNotPrimary(const InstanceName &Name, Time Now) {
@@ -104,7 +129,26 @@
   InstanceView &View = m_Views[Name];
   View.m_HeardAt = Now;
   View.m_FailingSince.reset();
-  View.m_AvoidUntil = Time();
+}
+
+void GroupViews::onOverloaded(const InstanceName &Name, Time Now) {
+  InstanceView &View = m_Views[Name];
+  // Refusals of statements that were sent together count once.
+  if (Now < View.m_AvoidUntil)
+    return;
+  View.m_Concurrency =
+      std::max(kMinConcurrency, View.m_Concurrency * kConcurrencyDecrease);
+  View.m_Pause =
+      std::clamp<Duration>(2 * View.m_Pause, kMinOverloadPause,
+                           kMaxOverloadPause);
+  View.m_AvoidUntil = Now + View.m_Pause;
+}
+
+void GroupViews::onServed(const InstanceName &Name) {
+  InstanceView &View = m_Views[Name];
+  View.m_Concurrency = std::min(
+      kMaxConcurrency, View.m_Concurrency + 1 / View.m_Concurrency);
+  View.m_Pause /= 2;
 }
 
 void GroupViews::onUnreachable(const InstanceName &Name, Time Now) {
--- a/src/decision/session/GroupViews.h
+++ b/src/decision/session/GroupViews.h
@@ -5,8 +5,14 @@
 
 #include "decision/session/SessionEvents.h"
 
+#include <deque>
+
 namespace almondpier {
 
+/// Begins above the share of slots that one of a dozen hosts has, so that a
+/// host without competition is not slowed down.
+constexpr double kInitialConcurrency = 4;
+
 /// Health of one instance as this host sees it.
 struct InstanceView {
   /// No new work before this moment, after a failure.
@@ -19,6 +25,11 @@
   Time m_HeardAt;
   /// Since when every attempt to reach it failed.
   std::optional<Time> m_FailingSince;
+  /// Statements that this host runs there at a time; falls when the instance
+  /// refuses for its load and rises with each answer.
+  double m_Concurrency = kInitialConcurrency;
+  /// Pause after the latest refusal for load; doubles while refusals go on.
+  Duration m_Pause{};
   /// Moving average of the time for a statement, in milliseconds.
   double m_LatencyMs = 0;
 };
@@ -43,16 +54,22 @@
   std::vector<const InstanceDescription *>
   readyMembers(const DatabaseName &Database) const;
   const InstanceDescription *find(const InstanceName &Name) const;
-  /// The latest sample of the group, when it was taken after NotBefore.
+  /// The oldest sample of the group that was taken after NotBefore, or null. It
+  /// asks the least of a replica that still satisfies the bound.
   const PrimarySample *sampleSince(const DatabaseName &Database,
                                    Time NotBefore) const;
 
   /// The instance proved that it led when it answered a statement sent at
   /// SentAt.
   void onLeadershipProved(const InstanceDescription &Instance,
-                          const std::optional<Position> &Held, Time SentAt);
+                          const std::optional<Position> &Held, Time SentAt,
+                          Time Now);
   void onNotPrimary(const InstanceName &Name, Time Now);
   void onLagging(const InstanceName &Name, Time Now);
+  /// The instance refused for its load.
+  void onOverloaded(const InstanceName &Name, Time Now);
+  /// The instance ran a statement.
+  void onServed(const InstanceName &Name);
   void onHeard(const InstanceName &Name, Time Now);
   void onUnreachable(const InstanceName &Name, Time Now);
   void onLatency(const InstanceName &Name, Duration Latency);
@@ -65,7 +82,8 @@
 private:
   struct Group {
     std::optional<InstanceName> m_Primary;
-    std::optional<PrimarySample> m_Sample;
+    /// In the order in which they were taken; positions never fall.
+    std::deque<PrimarySample> m_Samples;
   };
 
   const ProxyBlackboard &m_Board;
--- a/src/decision/session/InstancePool.cpp
+++ b/src/decision/session/InstancePool.cpp
@@ -23,7 +23,11 @@
                                        : Group->second.m_ConnectionLimit;
   size_t Usable = Limit > kReservedConnections ? Limit - kReservedConnections
                                                : Limit;
-  size_t Hosts = std::max<size_t>(1, m_Board.m_LiveHosts.m_Hosts.size());
+  // A new leader knows few hosts at first; registered ones are in the
+  // replicated configuration.
+  size_t Hosts = std::max<size_t>(
+      {1, m_Board.m_LiveHosts.m_Hosts.size(),
+       m_Board.m_Configuration.hosts().size()});
   return std::max<size_t>(1, Usable / Hosts);
 }
 
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -490,8 +490,9 @@
       milliseconds(m_Board.m_Configuration.policy().m_TransactionIdleMs);
   std::vector<StatementExecutor::Finished> GivenUp;
   for (auto &[Id, Session] : m_Sessions) {
-    if (Session.m_Task && Now >= Session.m_Task->m_Deadline &&
-        !Session.m_Task->m_IsWaitingForToken)
+    if (Session.m_Task && !Session.m_Task->m_IsWaitingForToken &&
+        (Now >= Session.m_Task->m_Deadline ||
+         StatementExecutor::hasWaitedEnough(Session, Now)))
       GivenUp.push_back({Session.m_Id, m_Executor.giveUp(Session, Now)});
     else if (!Session.m_Task && Session.m_State == TransactionState::Open &&
              Now - Session.m_LastActive >= IdleLimit)
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -11,6 +11,14 @@
 /// Attempts for one statement; further ones only add load to a group that
 /// refuses.
 constexpr uint32_t kMaxAttempts = 8;
+/// Retries for load or failure are at most this share of the statements, so
+/// that an overload is not multiplied; a few are always left.
+constexpr double kRetryShare = 0.2;
+constexpr double kMaxRetryBudget = 20;
+/// A statement that found no instance in this share of its time is refused, so
+/// that its caller can still come back in time.
+constexpr int kWaitShareDivisor = 5;
+constexpr int kWaitShareFactor = 2;
 /// Pause before the second and later attempts, times the number of attempts.
 constexpr Duration kRetryPause = milliseconds(8);
 /// An instance that sent nothing for so long while a statement waits is taken
@@ -55,7 +63,23 @@
 
 // Dispatch.
 
+bool StatementExecutor::hasWaitedEnough(const Session &Session, Time Now) {
+  const Task &Task = *Session.m_Task;
+  Duration Limit = milliseconds(Session.m_Policy.m_StatementTimeoutMs) *
+                   kWaitShareFactor / kWaitShareDivisor;
+  return Task.m_IsWaitingForInstance &&
+         Now - Task.m_Received.m_ReceivedAt >= Limit;
+}
+
+bool StatementExecutor::spendRetry() {
+  if (m_RetryBudget < 1)
+    return false;
+  m_RetryBudget -= 1;
+  return true;
+}
+
 void StatementExecutor::submit(Session &Session, Time Now) {
+  m_RetryBudget = std::min(kMaxRetryBudget, m_RetryBudget + kRetryShare);
   if (!Session.m_Pinned)
     return wait(Session, Now);
   InstanceConnection *Connection = m_Pool.find(*Session.m_Pinned);
@@ -126,31 +150,61 @@
   return true;
 }
 
+bool StatementExecutor::hasPlace(const Session &Session,
+                                 const InstanceDescription &Instance,
+                                 Time Now) {
+  const InstanceView &View = m_Views.viewOf(Instance.m_Name);
+  return Now >= View.m_AvoidUntil &&
+         static_cast<double>(m_Pool.busyAt(Instance.m_Name)) + 1 <=
+             View.m_Concurrency &&
+         m_Pool.availability(Instance.m_Name, Session.m_Organisation) !=
+             InstancePool::Availability::None;
+}
+
+std::string StatementExecutor::describeWait(const Session &Session, Time Now) {
+  Requirement Needed = requirementOf(Session);
+  const DatabaseName &Database = Session.m_Policy.m_Database;
+  const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
+  if (Needed.m_Target != Target::Recent && Primary == nullptr)
+    return "no primary is known";
+  std::string Result = "no instance was free in time:";
+  for (const InstanceDescription *Instance : m_Views.readyMembers(Database)) {
+    if (Needed.m_Target != Target::Recent && Instance != Primary)
+      continue;
+    const InstanceView &View = m_Views.viewOf(Instance->m_Name);
+    Result += " " + Instance->m_Name.m_Value + " runs " +
+              std::to_string(m_Pool.busyAt(Instance->m_Name)) + " of " +
+              std::to_string(static_cast<int>(View.m_Concurrency));
+    if (Now < View.m_AvoidUntil)
+      Result += " and is left alone";
+    if (Now < View.m_LaggingUntil)
+      Result += " and lags";
+    if (m_Pool.availability(Instance->m_Name, Session.m_Organisation) ==
+        InstancePool::Availability::None)
+      Result += " and has no connection left";
+  }
+  return Result;
+}
+
 const InstanceDescription *
 StatementExecutor::choose(const Session &Session, const Requirement &Needed,
                           Time Now) {
   const DatabaseName &Database = Session.m_Policy.m_Database;
   const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
   if (Needed.m_Target != Target::Recent) {
-    if (Primary == nullptr ||
-        Now < m_Views.viewOf(Primary->m_Name).m_AvoidUntil)
-      return nullptr;
-    return m_Pool.availability(Primary->m_Name, Session.m_Organisation) ==
-                   InstancePool::Availability::None
-               ? nullptr
-               : Primary;
+    return Primary != nullptr && hasPlace(Session, *Primary, Now) ? Primary
+                                                                  : nullptr;
   }
   const InstanceDescription *Best = nullptr;
   double BestCost = 0;
   for (const InstanceDescription *Instance : m_Views.readyMembers(Database)) {
     const InstanceView &View = m_Views.viewOf(Instance->m_Name);
     bool IsPrimary = Instance == Primary;
-    if (Now < View.m_AvoidUntil || (!IsPrimary && Now < View.m_LaggingUntil))
+    if ((!IsPrimary && Now < View.m_LaggingUntil) ||
+        !hasPlace(Session, *Instance, Now))
       continue;
     InstancePool::Availability Place =
         m_Pool.availability(Instance->m_Name, Session.m_Organisation);
-    if (Place == InstancePool::Availability::None)
-      continue;
     double Latency =
         View.m_LatencyMs == 0 ? kUnknownLatencyMs : View.m_LatencyMs;
     double Cost =
@@ -288,8 +342,9 @@
   std::optional<SessionId> Waiting = Connection->m_Session;
   m_Pool.close(Event.m_Connection);
   // A refusal for the number of connections is not a sign of a lost instance.
-  if (Event.m_Error == SessionError::TooManyConnections)
-    m_Views.viewOf(Instance).m_AvoidUntil = Now + milliseconds(25);
+  if (Event.m_Error == SessionError::TooManyConnections ||
+      Event.m_Error == SessionError::Busy)
+    m_Views.onOverloaded(Instance, Now);
   else
     m_Views.onUnreachable(Instance, Now);
   auto Found = Waiting ? m_Sessions.find(Waiting->m_Value) : m_Sessions.end();
@@ -302,7 +357,9 @@
 
 void StatementExecutor::noteError(const InstanceConnection &Connection,
                                   SessionError Error, Time Now) {
-  if (Error == SessionError::ReadOnly)
+  if (Error == SessionError::Busy)
+    m_Views.onOverloaded(Connection.m_Instance, Now);
+  else if (Error == SessionError::ReadOnly)
     m_Views.onNotPrimary(Connection.m_Instance, Now);
   else if (Error == SessionError::Lagging)
     m_Views.onLagging(Connection.m_Instance, Now);
@@ -315,6 +372,8 @@
   m_Views.onHeard(Connection->m_Instance, Now);
   const StatementReply &Reply = Event.m_Reply;
   bool IsRefused = Reply.m_Error.has_value();
+  if (!IsRefused && Connection->m_Step == ConnectionStep::Main)
+    m_Views.onServed(Connection->m_Instance);
   if (IsRefused)
     noteError(*Connection, *Reply.m_Error, Now);
   switch (Connection->m_Step) {
@@ -394,7 +453,7 @@
         m_Views.find(Connection.m_Instance);
     if (Connection.m_ChecksLeadership && Instance != nullptr)
       m_Views.onLeadershipProved(*Instance, Reply.m_Position,
-                                 Connection.m_SentAt);
+                                 Connection.m_SentAt, Now);
     if (Session.m_State != TransactionState::None)
       Session.m_Pinned = Connection.m_Id;
     return sendMain(Session, Connection, requirementOf(Session), Now);
@@ -402,8 +461,10 @@
   InstanceName Instance = Connection.m_Instance;
   std::string Why =
       "refused to begin: " + std::string(nameOf(*Reply.m_Error));
+  SessionError Error = saysNotRun(*Reply.m_Error) ? *Reply.m_Error
+                                                  : SessionError::Busy;
   letGo(Connection, Now);
-  retry(Session, Instance, Why, SessionError::Busy, Now);
+  retry(Session, Instance, Why, Error, Now);
 }
 
 void StatementExecutor::onMainReplied(Session &Session,
@@ -421,7 +482,7 @@
     if (IsProof && !WroteNothing && Instance != nullptr &&
         Main.m_Kind != StatementKind::Rollback)
       m_Views.onLeadershipProved(*Instance, Reply.m_Position,
-                                 Connection.m_SentAt);
+                                 Connection.m_SentAt, Now);
     bool IsCommit = Main.m_Kind == StatementKind::Commit && Session.m_HasWritten;
     if ((IsCommit || (Task.m_IsSingle && isWrite(Main))) && Reply.m_Position)
       Session.m_LastCommit = std::max(Session.m_LastCommit, *Reply.m_Position);
@@ -523,7 +584,11 @@
   Task.m_IsSent = false;
   Task.m_Tried.insert(Failed);
   Task.m_LastFailure = Failed.m_Value + " " + Why;
-  if (Task.m_Attempts >= kMaxAttempts)
+  // A replica that lacks a position and an instance that does not lead refuse
+  // at no cost to themselves.
+  bool IsFree =
+      Error == SessionError::Lagging || Error == SessionError::ReadOnly;
+  if (Task.m_Attempts >= kMaxAttempts || (!IsFree && !spendRetry()))
     return fail(Session, saysNotRun(Error) ? Error : SessionError::Aborted,
                 Task.m_LastFailure);
   if (Task.m_Attempts > 1)
@@ -553,8 +618,9 @@
   StatementReply Reply;
   Reply.m_Error = Task.m_IsSent ? errorAfterLoss(Session)
                                 : SessionError::Busy;
-  Reply.m_ErrorText = Task.m_LastFailure.empty() ? "no instance was free in time"
-                                                 : Task.m_LastFailure;
+  Reply.m_ErrorText = Task.m_IsWaitingForInstance ? describeWait(Session, Now)
+                      : Task.m_IsSent             ? "no answer in time"
+                                                  : "no connection in time";
   Task.m_IsWaitingForInstance = false;
   std::optional<ConnectionId> Used = Task.m_Connection;
   Task.m_Connection.reset();
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -37,6 +37,8 @@
   /// Sends waiting statements for which there is a connection now.
   void dispatchWaiting(Time Now);
   void tick(Time Now);
+  /// Whether a waiting task has waited as long as it may before it is refused.
+  static bool hasWaitedEnough(const Session &Session, Time Now);
   std::vector<Finished> takeFinished() { return std::move(m_Finished); }
 
   const InstancePool &pool() const { return m_Pool; }
@@ -50,6 +52,13 @@
   };
 
   void wait(Session &Session, Time Now);
+  /// Whether the instance takes another statement of this host now.
+  bool hasPlace(const Session &Session, const InstanceDescription &Instance,
+                Time Now);
+  /// What stands against each instance that could run the task, for the log.
+  std::string describeWait(const Session &Session, Time Now);
+  /// Whether a failed attempt may be repeated without adding to an overload.
+  bool spendRetry();
   /// Returns whether the task found a connection.
   bool dispatch(Session &Session, Time Now);
   Requirement requirementOf(const Session &Session) const;
@@ -92,6 +101,8 @@
   std::vector<Finished> m_Finished;
   Time m_TrimmedAt;
   Time m_ReportedAt;
+  /// Retries that may still be spent; grows with each statement.
+  double m_RetryBudget = 0;
   uint64_t m_Retries = 0;
   uint64_t m_ReplicaReads = 0;
   uint64_t m_ProvedReads = 0;
