Admit a host's own share of each rate while no leader lends

Cause: without a control leader no rate tokens were lent, so every operation waited 2 s and was refused although the configuration was still proved fresh; after a restart hosts were ready before they knew any instance. Ruled out: the election itself (1 s). Change: each host admits 0.8 of its share of the rate while no leader answers; a partial directory is taken by hosts that have none; a host without a directory is not ready.

--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -265,12 +265,15 @@
 struct InstanceDirectory {
   uint64_t m_Term = 0;
   uint64_t m_Version = 0;
+  /// Every running instance has had the time to check in with this leader or
+  /// its predecessors. A partial list is of use to those that have none.
+  bool m_IsComplete = false;
   std::vector<InstanceDescription> m_Instances;
 
   friend auto operator<=>(const InstanceDirectory &,
                           const InstanceDirectory &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(m_Term, m_Version, m_Instances);
+    Ar(m_Term, m_Version, m_IsComplete, m_Instances);
   }
 };
 struct ReadIndexReply {
--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// A leader without a predecessor's list waits for two intervals of check-ins
-/// (1.2 s each), so that it does not publish a partial list as the whole.
+/// A leader without a predecessor's list takes its own for complete after two
+/// intervals of check-ins (1.2 s each).
 constexpr Duration kCompletionTime = std::chrono::milliseconds(2'600);
 /// How long a boot that ended is remembered against its late check-ins.
 constexpr Duration kBootMemory = std::chrono::seconds(120);
@@ -100,7 +100,9 @@
 void DirectoryController::onLeaderDirectory(
     const InstanceDirectory &Directory) {
   if (std::pair(Directory.m_Term, Directory.m_Version) >
-      std::pair(m_Board.m_Directory.m_Term, m_Board.m_Directory.m_Version))
+          std::pair(m_Board.m_Directory.m_Term,
+                    m_Board.m_Directory.m_Version) &&
+      Directory.m_IsComplete >= m_Board.m_Directory.m_IsComplete)
     m_Board.m_Directory = Directory;
 }
 
@@ -115,8 +117,10 @@
     m_Board.m_CheckedInAt[Instance.m_Name] = Context.m_Now;
   }
   m_IsChanged = true;
+  bool IsInherited =
+      m_Board.m_Directory.m_IsComplete && !m_Entries.empty();
   m_CompleteAfter =
-      m_Entries.empty() ? Context.m_Now + kCompletionTime : Context.m_Now;
+      IsInherited ? Context.m_Now : Context.m_Now + kCompletionTime;
 }
 
 void DirectoryController::tick(ControlContext &Context) {
@@ -140,10 +144,11 @@
 }
 
 void DirectoryController::publish(ControlContext &Context) {
-  if (!m_IsChanged || Context.m_Now < m_CompleteAfter)
+  InstanceDirectory &Published = m_Board.m_Directory;
+  bool IsComplete = Context.m_Now >= m_CompleteAfter;
+  if (!m_IsChanged && Published.m_IsComplete == IsComplete)
     return;
   m_IsChanged = false;
-  InstanceDirectory &Published = m_Board.m_Directory;
   bool IsOwn = Published.m_Term == m_Board.m_Term && Published.m_Version > 0;
   std::vector<InstanceDescription> Instances;
   Instances.reserve(m_Entries.size());
@@ -153,8 +158,8 @@
       Instances.back().m_IsPrimary = false;
   }
   uint64_t Version = IsOwn ? Published.m_Version + 1 : 1;
-  Published =
-      InstanceDirectory{m_Board.m_Term, Version, std::move(Instances)};
+  Published = InstanceDirectory{m_Board.m_Term, Version, IsComplete,
+                                std::move(Instances)};
 }
 
 } // namespace almondpier
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -173,7 +173,8 @@
     return;
   const InstanceDirectory &Known = m_Board.m_Directory;
   if (std::pair(Reply.m_Directory->m_Term, Reply.m_Directory->m_Version) <=
-      std::pair(Known.m_Term, Known.m_Version))
+          std::pair(Known.m_Term, Known.m_Version) ||
+      Reply.m_Directory->m_IsComplete < Known.m_IsComplete)
     return;
   m_Board.m_Directory = *Reply.m_Directory;
   m_Changed = true;
--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -25,9 +25,43 @@
 static constexpr uint32_t kMaxTokensPerAsk = 100'000;
 static constexpr uint32_t kMaxBurstTarget = 10'000;
 
+// A leader that has not answered for so long lends nothing for now; elections
+// take several times as long.
+static constexpr Duration kLeaderlessAfter = milliseconds(150);
+// Of the rate that this host admits by itself without a leader; the rest covers
+// hosts that still reach one.
+static constexpr double kOwnShareOfRate = 0.8;
+
 TokenController::TokenController(const HostName &Host, LinkTable &Links,
-                                 ProxyActions &Actions)
-    : m_Host(Host), m_Links(Links), m_Actions(Actions) {}
+                                 ProxyActions &Actions,
+                                 const ProxyBlackboard *Board)
+    : m_Host(Host), m_Links(Links), m_Actions(Actions), m_Board(Board) {}
+
+bool TokenController::isLeaderless(Time Now) const {
+  return m_Board != nullptr && m_UnansweredSince &&
+         Now - *m_UnansweredSince >= kLeaderlessAfter;
+}
+
+void TokenController::fillOwnShare(const OrganisationName &Organisation,
+                                   Account &Account, Time Now) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  // Hosts that are registered but gone count, so the shares never add up to
+  // more than the rate.
+  double Hosts = static_cast<double>(std::max<size_t>(
+      {1, m_Board->m_Configuration.hosts().size(),
+       m_Board->m_LiveHosts.m_Hosts.size()}));
+  Limit Whole =
+      m_Board->m_Configuration.currentPreset().limitOf(Organisation);
+  Duration Elapsed = std::min<Duration>(
+      Now - std::max(Account.m_OwnShareAt, *m_UnansweredSince),
+      std::chrono::seconds(1));
+  Account.m_OwnShareAt = Now;
+  Account.m_OwnShare = std::min(
+      std::max(1.0, Whole.m_Burst / Hosts),
+      Account.m_OwnShare + Whole.m_RatePerSecond * kOwnShareOfRate / Hosts *
+                               static_cast<double>(Elapsed.count()) /
+                               kMicrosecondsPerSecond);
+}
 
 uint32_t TokenController::available(Account &Account, Time Now) {
   uint32_t Sum = 0;
@@ -39,8 +73,14 @@
 
 bool TokenController::spend(Account &Account, Time Now) {
   expireLoans(Account, Now);
-  if (Account.m_Loans.empty())
-    return false;
+  if (Account.m_Loans.empty()) {
+    if (!isLeaderless(Now) || Account.m_OwnShare < 1)
+      return false;
+    Account.m_OwnShare -= 1;
+    ++m_OwnShareSpent;
+    ++Account.m_UsedInWindow;
+    return true;
+  }
   Loan &Next = Account.m_Loans.front();
   requireInvariant(Next.m_Tokens > 0 && Now < Next.m_ExpiresAt, "R7",
                    "a spent token is lent and not expired");
@@ -54,6 +94,8 @@
 
 bool TokenController::take(const OrganisationName &Organisation, Time Now) {
   Account &Account = m_Accounts[Organisation];
+  if (isLeaderless(Now))
+    fillOwnShare(Organisation, Account, Now);
   return Account.m_Waiters.empty() && spend(Account, Now);
 }
 
@@ -88,6 +130,10 @@
     if (Account.m_Waiters.empty())
       continue;
     uint32_t Tokens = available(Account, Now);
+    if (isLeaderless(Now)) {
+      fillOwnShare(Organisation, Account, Now);
+      Tokens += static_cast<uint32_t>(Account.m_OwnShare);
+    }
     for (; Tokens > 0 && !Account.m_Waiters.empty(); --Tokens) {
       Servable.push_back(Account.m_Waiters.front().m_Id);
       Account.m_Waiters.pop_front();
@@ -104,6 +150,11 @@
   bool LeaderAnswers = Account.m_ShortAskSentAt &&
                        *Account.m_ShortAskSentAt >= Waiter.m_Since &&
                        Now - *Account.m_ShortAskSentAt <= kRecentAnswer;
+  // Without a leader the wait is for this host's own share.
+  if (isLeaderless(Now) && Waited >= Waiter.m_Patience)
+    return ErrorReport{ErrorKind::RateLimited,
+                       "no leader lends, and this host's share is used", Ran::No,
+                       1};
   bool IsLeaderNew =
       m_LeaderChangedAt && Now - *m_LeaderChangedAt < kLeaderChangeWindow;
   Duration Patience = IsLeaderNew ? kLeaderWait : Waiter.m_Patience;
@@ -171,6 +222,7 @@
     return;
   Outstanding Answered = std::move(Found->second);
   m_Outstanding.erase(Found);
+  m_UnansweredSince.reset();
   if (m_LeaderTerm != 0 && Grant.m_LeaderTerm != m_LeaderTerm)
     m_LeaderChangedAt = Now;
   m_LeaderTerm = Grant.m_LeaderTerm;
@@ -318,6 +370,8 @@
   m_LastAsk = Now;
   m_AskedLink = Link;
   m_Outstanding[++m_Sequence] = Outstanding{Now, Asks};
+  if (!m_UnansweredSince)
+    m_UnansweredSince = Now;
   m_Actions.push_back(
       SendMessage{Link, TokenRequest{m_Host, m_Sequence, std::move(Asks)}});
 }
@@ -328,6 +382,9 @@
     returnUnused(Organisation, Account, Now);
   }
   measureUse(Now);
+  bool CanAsk = m_Leader && m_Links.linkTo(*m_Leader).has_value();
+  if (!CanAsk && m_WaitingCount > 0 && !m_UnansweredSince)
+    m_UnansweredSince = Now;
   if (!m_Leader)
     return;
   if (!m_Outstanding.empty() &&
--- a/src/decision/proxy/TokenController.h
+++ b/src/decision/proxy/TokenController.h
@@ -25,8 +25,10 @@
     ErrorReport m_Error;
   };
 
-  TokenController(const HostName &Host, LinkTable &Links,
-                  ProxyActions &Actions);
+  /// With Board, this host admits its share of each rate by itself while no
+  /// leader lends; without one, requests wait for a leader.
+  TokenController(const HostName &Host, LinkTable &Links, ProxyActions &Actions,
+                  const ProxyBlackboard *Board = nullptr);
 
   /// Spends a token of the organisation for a request that does not wait.
   /// Returns false while there is none, or while others wait for one.
@@ -52,6 +54,7 @@
   /// Gives all tokens back, before the process ends.
   void returnAll(Time Now);
 
+  uint64_t ownShareSpent() const { return m_OwnShareSpent; }
   uint64_t tokensBorrowed() const { return m_Borrowed; }
   uint64_t tokensSpent() const { return m_Spent; }
   uint64_t tokensReturned() const { return m_Returned; }
@@ -84,6 +87,9 @@
     uint32_t m_RetryAfterMs = 0;
     uint32_t m_UsedInWindow = 0;
     double m_UsePerSecond = 0;
+    /// Tokens of this host's own share, while no leader lends.
+    double m_OwnShare = 0;
+    Time m_OwnShareAt;
     /// Wanted ahead after the tokens ran out; decays when they last.
     uint32_t m_BurstTarget = 0;
   };
@@ -92,6 +98,10 @@
     std::vector<TokenAsk> m_Asks;
   };
 
+  /// Whether no leader has answered for so long that this host uses its share.
+  bool isLeaderless(Time Now) const;
+  void fillOwnShare(const OrganisationName &Organisation, Account &Account,
+                    Time Now);
   static uint32_t available(Account &Account, Time Now);
   bool spend(Account &Account, Time Now);
   void expireLoans(Account &Account, Time Now);
@@ -111,6 +121,10 @@
   HostName m_Host;
   LinkTable &m_Links;
   ProxyActions &m_Actions;
+  const ProxyBlackboard *m_Board;
+  /// Since when an answer of a leader is due; nothing while none is.
+  std::optional<Time> m_UnansweredSince;
+  uint64_t m_OwnShareSpent = 0;
   std::map<OrganisationName, Account> m_Accounts;
   std::map<uint64_t, Outstanding> m_Outstanding;
   std::optional<Endpoint> m_Leader;
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -26,11 +26,14 @@
       : m_Options(Options),
         m_Configuration(Options, m_Board, m_Links, m_ControlActions),
         m_Heartbeat(Options.m_Host.m_Name, m_Board, m_ControlActions),
-        m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions),
+        m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions,
+                 &m_Board),
         m_Sessions(Limits, m_Board, m_Tokens, m_Actions), m_LastHandled(Now) {}
 
   bool isReady(Time Now) const {
-    return !m_Sessions.isShuttingDown() && m_Sessions.isFresh(Now);
+    // A host that knows no instance can serve nothing.
+    return !m_Sessions.isShuttingDown() && m_Sessions.isFresh(Now) &&
+           !m_Board.m_Directory.m_Instances.empty();
   }
 
   void operator()(const SessionOpened &Event, Time Now) {
