--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -370,8 +370,7 @@
   friend auto operator<=>(const PollReply &, const PollReply &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(m_Sequence, m_AppliedIndex, m_Changes, m_Snapshot, m_SnapshotOffset,
-       m_SnapshotBytes, m_LiveHosts, m_Directory, m_Leader,
-       m_ControlMembers);
+       m_SnapshotBytes, m_LiveHosts, m_Directory, m_Leader, m_ControlMembers);
   }
 };
 
--- a/include/almondpier/Model.h
+++ b/include/almondpier/Model.h
@@ -477,10 +477,10 @@
 /// How long a lent rate token can be used at most.
 constexpr Duration kMaxLoanValidity = std::chrono::milliseconds(300);
 
-/// Returns a limit for a token bucket that lends, in any span of Window, no more
-/// than rate x Window + burst of Counted. Tokens lent just before the span and
-/// used in it come on top: at most rate x kMaxLoanValidity. A smaller part of
-/// the burst at once leaves a higher sustained rate.
+/// Returns a limit for a token bucket that lends, in any span of Window, no
+/// more than rate x Window + burst of Counted. Tokens lent just before the span
+/// and used in it come on top: at most rate x kMaxLoanValidity. A smaller part
+/// of the burst at once leaves a higher sustained rate.
 Limit spreadOver(const Limit &Counted, Duration Window);
 
 struct OrganisationPolicy {
--- a/include/almondpier/Net.h
+++ b/include/almondpier/Net.h
@@ -164,8 +164,8 @@
     /// Called with each line without its end; the stream may be closed inside,
     /// but not destroyed.
     std::function<void(std::string_view)> m_OnLine;
-    /// The peer closed the connection, it failed, or it broke a limit. Called at
-    /// most once, never after close().
+    /// The peer closed the connection, it failed, or it broke a limit. Called
+    /// at most once, never after close().
     std::function<void(const std::string &Reason)> m_OnClose;
   };
   struct Limits {
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -77,6 +77,7 @@
                                       uint16_t OperationsPort) {
   std::sort(Peers.begin(), Peers.end());
   std::vector<ControlMember> Members;
+  Members.reserve(Peers.size());
   for (const Endpoint &Peer : Peers)
     Members.push_back(
         ControlMember{MemberId{founderNumber("member " + formatEndpoint(Peer))},
@@ -180,8 +181,7 @@
   void tick() {
     m_EndedLinks.clear();
     post(ClockTick{wallTimeMs()});
-    bool IsAnswered =
-        m_Operations.requestsInFlight() == 0 && m_Replies.empty();
+    bool IsAnswered = m_Operations.requestsInFlight() == 0 && m_Replies.empty();
     if (m_EndAt && (IsAnswered || m_Loop.now() >= *m_EndAt))
       m_Loop.stop();
   }
@@ -264,8 +264,8 @@
   void carryOut(const CallInstance &Action) { m_Instances.call(Action); }
   void carryOut(const CallGroup &Action) {
     if (!m_Settings.m_Gateway) {
-      post(GroupCallAnswered{Action.m_Call, GroupCallOutcome::Refused, {}, 0,
-                             false});
+      post(GroupCallAnswered{
+          Action.m_Call, GroupCallOutcome::Refused, {}, 0, false});
       return;
     }
     m_Settings.m_Gateway(
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -60,7 +60,8 @@
       : m_Options(Options), m_Feed(m_Board), m_Liveness(m_Board, Now),
         m_Allocator(m_Board), m_Failover(m_Board),
         m_Membership(m_Board, m_Changes), m_Announcements(m_Board),
-        m_Directory(m_Board), m_Promotions(m_Board), m_ClusterId(Options.m_ClusterId) {
+        m_Directory(m_Board), m_Promotions(m_Board),
+        m_ClusterId(Options.m_ClusterId) {
     m_Board.m_Self = Options.m_Self;
     if (m_ClusterId != 0)
       openLog(Now);
@@ -492,9 +493,7 @@
   return m_State->m_Board;
 }
 
-bool ControlCore::isReady() const {
-  return m_State->isReady();
-}
+bool ControlCore::isReady() const { return m_State->isReady(); }
 
 uint64_t ControlCore::appliedIndex() const {
   return m_State->m_Board.m_State.appliedIndex();
--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -29,8 +29,7 @@
     const InstanceDescription &Instance) const {
   for (const auto &[Name, Entry] : m_Entries)
     if (Entry.m_Statements == Instance.m_Statements &&
-        Name != Instance.m_Name &&
-        Entry.m_StartedAtMs > Instance.m_StartedAtMs)
+        Name != Instance.m_Name && Entry.m_StartedAtMs > Instance.m_StartedAtMs)
       return true;
   return false;
 }
@@ -117,8 +116,7 @@
     m_Board.m_CheckedInAt[Instance.m_Name] = Context.m_Now;
   }
   m_IsChanged = true;
-  bool IsInherited =
-      m_Board.m_Directory.m_IsComplete && !m_Entries.empty();
+  bool IsInherited = m_Board.m_Directory.m_IsComplete && !m_Entries.empty();
   m_CompleteAfter =
       IsInherited ? Context.m_Now : Context.m_Now + kCompletionTime;
 }
@@ -128,8 +126,8 @@
   if (!m_Board.m_IsLeader)
     return;
   std::erase_if(m_Entries, [&](const auto &Entry) {
-    bool IsSilent = Context.m_Now - m_Board.m_CheckedInAt[Entry.first] >
-                    kForgetAfter;
+    bool IsSilent =
+        Context.m_Now - m_Board.m_CheckedInAt[Entry.first] > kForgetAfter;
     m_IsChanged = m_IsChanged || IsSilent;
     if (IsSilent)
       Context.reportStateChange("instance " + Entry.first.m_Value +
--- a/src/decision/control/DirectoryController.h
+++ b/src/decision/control/DirectoryController.h
@@ -12,7 +12,8 @@
 class DirectoryController {
 public:
   /// An instance that has not checked in for so long is dropped; several times
-  /// the interval of check-ins, because connections show sooner that it is gone.
+  /// the interval of check-ins, because connections show sooner that it is
+  /// gone.
   static constexpr Duration kForgetAfter = std::chrono::seconds(20);
 
   explicit DirectoryController(ControlBlackboard &Board) : m_Board(Board) {}
--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -57,8 +57,7 @@
   return Result;
 }
 
-uint32_t
-PromotionController::syncReplicasOf(const DatabaseName &Name) const {
+uint32_t PromotionController::syncReplicasOf(const DatabaseName &Name) const {
   const std::map<DatabaseName, GroupPolicy> &Groups =
       m_Board.configuration().policy().m_Groups;
   auto Found = Groups.find(Name);
@@ -131,17 +130,17 @@
   if (Lost == 0)
     return false;
   auto Heard = m_Board.m_CheckedInAt.find(Primary.m_Name);
-  bool IsSilent = Heard == m_Board.m_CheckedInAt.end() ||
-                  Now - Heard->second >= kSilence;
+  bool IsSilent =
+      Heard == m_Board.m_CheckedInAt.end() || Now - Heard->second >= kSilence;
   // Hosts without traffic for the group report nothing, so a third of the live
   // hosts is evidence against a primary that still checks in; a single cut host
   // is not.
   return IsSilent || (Lost >= 2 && Lost * 3 >= Live);
 }
 
-std::optional<std::string> PromotionController::reasonToPromote(
-    Group &Group, const DatabaseName &Name, const Members &Members,
-    Time Now) const {
+std::optional<std::string>
+PromotionController::reasonToPromote(Group &Group, const DatabaseName &Name,
+                                     const Members &Members, Time Now) const {
   const InstanceDescription *Primary = nullptr;
   bool HasReplica = false;
   for (const InstanceDescription *Member : Members) {
@@ -246,16 +245,15 @@
   }
   // An acknowledged commit is on at least SyncReplicas of the replicas, so it
   // is on one of any Replicas - SyncReplicas + 1 of them.
-  size_t Needed = SyncReplicas == 0 ? 1
-                  : Replicas >= SyncReplicas
-                      ? Replicas - SyncReplicas + 1
-                      : Replicas;
+  size_t Needed = SyncReplicas == 0          ? 1
+                  : Replicas >= SyncReplicas ? Replicas - SyncReplicas + 1
+                                             : Replicas;
   if (Answered < Needed || Best == nullptr) {
-    Context.reportStateChange(
-        "change of primary of database " + Name.m_Value + " is put off: " +
-        std::to_string(Answered) + " of " + std::to_string(Replicas) +
-        " replicas stated a position, " + std::to_string(Needed) +
-        " are needed");
+    Context.reportStateChange("change of primary of database " + Name.m_Value +
+                              " is put off: " + std::to_string(Answered) +
+                              " of " + std::to_string(Replicas) +
+                              " replicas stated a position, " +
+                              std::to_string(Needed) + " are needed");
     ++m_Abandoned;
     return endAttempt(Group, kRetryPause, Context.m_Now);
   }
@@ -330,9 +328,9 @@
   bool IsRefused = Event.m_Outcome == GroupCallOutcome::Refused;
   if (IsRefused)
     Group.m_RefusedUntil[Answered.m_Instance] = Context.m_Now + kRefusalPause;
-  Context.reportStateChange(
-      "promotion of instance " + Answered.m_Instance.m_Value +
-      (IsRefused ? " was refused" : " has no answer"));
+  Context.reportStateChange("promotion of instance " +
+                            Answered.m_Instance.m_Value +
+                            (IsRefused ? " was refused" : " has no answer"));
   ++m_Abandoned;
   endAttempt(Group, kRetryPause, Context.m_Now);
 }
--- a/src/decision/control/PromotionController.h
+++ b/src/decision/control/PromotionController.h
@@ -8,10 +8,10 @@
 namespace almondpier {
 
 /// At the leader, notices a lost, departing or missing primary of each group in
-/// the directory, reads (and, with synchronous replicas, seals) the positions of
-/// the replicas, and has the most advanced one promoted. The fencing token rises
-/// with the leader's term and with each attempt, so that a late call of an
-/// earlier attempt is refused.
+/// the directory, reads (and, with synchronous replicas, seals) the positions
+/// of the replicas, and has the most advanced one promoted. The fencing token
+/// rises with the leader's term and with each attempt, so that a late call of
+/// an earlier attempt is refused.
 class PromotionController {
 public:
   explicit PromotionController(ControlBlackboard &Board) : m_Board(Board) {}
@@ -68,10 +68,9 @@
                      ControlContext &Context);
   void choose(Group &Group, const DatabaseName &Name, size_t Replicas,
               ControlContext &Context);
-  void promote(Group &Group, const DatabaseName &Name,
-               ControlContext &Context);
-  void awaitRole(Group &Group, const DatabaseName &Name,
-                 const Members &Members, ControlContext &Context);
+  void promote(Group &Group, const DatabaseName &Name, ControlContext &Context);
+  void awaitRole(Group &Group, const DatabaseName &Name, const Members &Members,
+                 ControlContext &Context);
   void endAttempt(Group &Group, Duration Pause, Time Now);
   void enter(Group &Group, Step Step, Time Now);
   GroupCallId send(const DatabaseName &Name, GroupCallKind Kind,
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -66,12 +66,11 @@
   m_LastPoll = Now;
   uint64_t Base = m_NeedsSnapshot ? 0 : m_Board.m_AppliedIndex;
   m_Outstanding.push_back(Poll{++m_Sequence, Now, Base});
-  m_Actions.push_back(
-      SendMessage{Link, PollRequest{m_Host, m_Incarnation, m_Sequence, Base,
-                                    m_Board.m_LiveHosts.m_Term,
-                                    m_Board.m_LiveHosts.m_Version,
-                                    m_Board.m_Directory.m_Term,
-                                    m_Board.m_Directory.m_Version}});
+  m_Actions.push_back(SendMessage{
+      Link,
+      PollRequest{m_Host, m_Incarnation, m_Sequence, Base,
+                  m_Board.m_LiveHosts.m_Term, m_Board.m_LiveHosts.m_Version,
+                  m_Board.m_Directory.m_Term, m_Board.m_Directory.m_Version}});
 }
 
 void ConfigurationController::onReply(LinkId Link, const PollReply &Reply,
--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -47,11 +47,10 @@
   constexpr double kMicrosecondsPerSecond = 1e6;
   // Hosts that are registered but gone count, so the shares never add up to
   // more than the rate.
-  double Hosts = static_cast<double>(std::max<size_t>(
-      {1, m_Board->m_Configuration.hosts().size(),
-       m_Board->m_LiveHosts.m_Hosts.size()}));
-  Limit Whole =
-      m_Board->m_Configuration.currentPreset().limitOf(Organisation);
+  double Hosts = static_cast<double>(
+      std::max<size_t>({1, m_Board->m_Configuration.hosts().size(),
+                        m_Board->m_LiveHosts.m_Hosts.size()}));
+  Limit Whole = m_Board->m_Configuration.currentPreset().limitOf(Organisation);
   Duration Elapsed = std::min<Duration>(
       Now - std::max(Account.m_OwnShareAt, *m_UnansweredSince),
       std::chrono::seconds(1));
@@ -153,8 +152,8 @@
   // Without a leader the wait is for this host's own share.
   if (isLeaderless(Now) && Waited >= Waiter.m_Patience)
     return ErrorReport{ErrorKind::RateLimited,
-                       "no leader lends, and this host's share is used", Ran::No,
-                       1};
+                       "no leader lends, and this host's share is used",
+                       Ran::No, 1};
   bool IsLeaderNew =
       m_LeaderChangedAt && Now - *m_LeaderChangedAt < kLeaderChangeWindow;
   Duration Patience = IsLeaderNew ? kLeaderWait : Waiter.m_Patience;
--- a/src/decision/session/GroupViews.cpp
+++ b/src/decision/session/GroupViews.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// After a failed connection; about the time a restarting process needs.
-constexpr Duration kFailurePause = milliseconds(100);
+/// An instance that cannot be reached is left alone for about as long as it has
+/// been so, within these bounds.
+constexpr Duration kMinFailurePause = milliseconds(100);
+constexpr Duration kMaxFailurePause = milliseconds(1'000);
 /// Replicas lag 8 ms as a rule; one that lacks a position is left alone for a
 /// few times as long.
 constexpr Duration kLagPause = milliseconds(60);
@@ -33,8 +35,7 @@
 } // namespace
 
 const InstanceDescription *GroupViews::find(const InstanceName &Name) const {
-  const std::vector<InstanceDescription> &All =
-      m_Board.m_Directory.m_Instances;
+  const std::vector<InstanceDescription> &All = m_Board.m_Directory.m_Instances;
   // The directory is sorted by name.
   auto Found = std::lower_bound(
       All.begin(), All.end(), Name,
@@ -108,8 +109,8 @@
   }
   while (!Samples.empty() && Now - Samples.front().m_TakenAt > kSampleMemory)
     Samples.pop_front();
-  bool IsSpaced = Samples.empty() ||
-                  SentAt - Samples.back().m_TakenAt >= kSampleSpacing;
+  bool IsSpaced =
+      Samples.empty() || SentAt - Samples.back().m_TakenAt >= kSampleSpacing;
   if (IsSpaced)
     Samples.push_back(PrimarySample{Highest, SentAt});
 }
@@ -138,39 +139,39 @@
     return;
   View.m_Concurrency =
       std::max(kMinConcurrency, View.m_Concurrency * kConcurrencyDecrease);
-  View.m_Pause =
-      std::clamp<Duration>(2 * View.m_Pause, kMinOverloadPause,
-                           kMaxOverloadPause);
+  View.m_Pause = std::clamp<Duration>(2 * View.m_Pause, kMinOverloadPause,
+                                      kMaxOverloadPause);
   View.m_AvoidUntil = Now + View.m_Pause;
 }
 
 void GroupViews::onServed(const InstanceName &Name) {
   InstanceView &View = m_Views[Name];
-  View.m_Concurrency = std::min(
-      kMaxConcurrency, View.m_Concurrency + 1 / View.m_Concurrency);
+  View.m_Concurrency =
+      std::min(kMaxConcurrency, View.m_Concurrency + 1 / View.m_Concurrency);
   View.m_Pause /= 2;
 }
 
 void GroupViews::onUnreachable(const InstanceName &Name, Time Now) {
   InstanceView &View = m_Views[Name];
-  View.m_AvoidUntil = Now + kFailurePause;
   if (!View.m_FailingSince)
     View.m_FailingSince = Now;
+  View.m_AvoidUntil = Now + std::clamp(Now - *View.m_FailingSince,
+                                       kMinFailurePause, kMaxFailurePause);
 }
 
 void GroupViews::onLatency(const InstanceName &Name, Duration Latency) {
   InstanceView &View = m_Views[Name];
-  double Ms = static_cast<double>(Latency.count()) / kMicrosecondsPerMillisecond;
-  View.m_LatencyMs = View.m_LatencyMs == 0
-                         ? Ms
-                         : (1 - kNewLatencyShare) * View.m_LatencyMs +
-                               kNewLatencyShare * Ms;
+  double Ms =
+      static_cast<double>(Latency.count()) / kMicrosecondsPerMillisecond;
+  View.m_LatencyMs =
+      View.m_LatencyMs == 0
+          ? Ms
+          : (1 - kNewLatencyShare) * View.m_LatencyMs + kNewLatencyShare * Ms;
 }
 
 void GroupViews::onDirectoryChanged(Time Now) {
-  std::erase_if(m_Views, [&](const auto &Entry) {
-    return find(Entry.first) == nullptr;
-  });
+  std::erase_if(
+      m_Views, [&](const auto &Entry) { return find(Entry.first) == nullptr; });
   for (auto &[Database, Group] : m_Groups) {
     if (!Group.m_Primary)
       continue;
--- a/src/decision/session/InstancePool.cpp
+++ b/src/decision/session/InstancePool.cpp
@@ -9,9 +9,9 @@
 /// Connections of an instance that hosts leave free: control hosts ask for
 /// positions, and a host that ended holds its connections for a moment.
 constexpr size_t kReservedConnections = 1;
-/// Idle connections to a draining instance are closed after this time, so that
-/// it can end.
-constexpr Duration kDrainIdle = std::chrono::milliseconds(500);
+/// A connection that this host has no claim to is closed when it was idle for
+/// so long; a departing instance can then end.
+constexpr Duration kSurplusIdle = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -21,13 +21,12 @@
   auto Group = Groups.find(Database);
   size_t Limit = Group == Groups.end() ? GroupPolicy().m_ConnectionLimit
                                        : Group->second.m_ConnectionLimit;
-  size_t Usable = Limit > kReservedConnections ? Limit - kReservedConnections
-                                               : Limit;
+  size_t Usable =
+      Limit > kReservedConnections ? Limit - kReservedConnections : Limit;
   // A new leader knows few hosts at first; registered ones are in the
   // replicated configuration.
-  size_t Hosts = std::max<size_t>(
-      {1, m_Board.m_LiveHosts.m_Hosts.size(),
-       m_Board.m_Configuration.hosts().size()});
+  size_t Hosts = std::max<size_t>({1, m_Board.m_LiveHosts.m_Hosts.size(),
+                                   m_Board.m_Configuration.hosts().size()});
   return std::max<size_t>(1, Usable / Hosts);
 }
 
@@ -40,8 +39,8 @@
   auto Ids = m_ByInstance.find(Instance);
   if (Ids == m_ByInstance.end())
     return 0;
-  return static_cast<size_t>(std::count_if(
-      Ids->second.begin(), Ids->second.end(), [&](uint64_t Id) {
+  return static_cast<size_t>(
+      std::count_if(Ids->second.begin(), Ids->second.end(), [&](uint64_t Id) {
         ConnectionStep Step = m_Connections.at(Id).m_Step;
         return Step != ConnectionStep::Idle && Step != ConnectionStep::Pinned;
       }));
@@ -64,17 +63,14 @@
       return Availability::Idle;
     HasIdle = true;
   }
-  if (HasIdle || Database == nullptr ||
-      Ids->second.size() < shareOf(*Database))
+  if (HasIdle || Database == nullptr || Ids->second.size() < shareOf(*Database))
     return Availability::New;
   return Availability::None;
 }
 
-InstanceConnection *
-InstancePool::acquire(const InstanceDescription &Instance,
-                      const OrganisationName &Organisation,
-                      const std::map<std::string, std::string> &Values,
-                      Time Now) {
+InstanceConnection *InstancePool::acquire(
+    const InstanceDescription &Instance, const OrganisationName &Organisation,
+    const std::map<std::string, std::string> &Values, Time Now) {
   InstanceConnection *Best = nullptr;
   InstanceConnection *Oldest = nullptr;
   std::vector<uint64_t> &Ids = m_ByInstance[Instance.m_Name];
@@ -151,33 +147,34 @@
   m_Connections.erase(Found);
 }
 
+size_t InstancePool::surplusOf(const InstanceName &Name, size_t Open) const {
+  auto Entry = std::find_if(
+      m_Board.m_Directory.m_Instances.begin(),
+      m_Board.m_Directory.m_Instances.end(),
+      [&](const InstanceDescription &Known) { return Known.m_Name == Name; });
+  if (Entry == m_Board.m_Directory.m_Instances.end() ||
+      Entry->m_State == InstanceState::Draining)
+    return Open;
+  size_t Share = shareOf(Entry->m_Database);
+  return Open > Share ? Open - Share : 0;
+}
+
 void InstancePool::trim(Time Now) {
-  std::vector<ConnectionId> Surplus;
-  for (const auto &[Instance, Ids] : m_ByInstance) {
-    auto Entry = std::find_if(
-        m_Board.m_Directory.m_Instances.begin(),
-        m_Board.m_Directory.m_Instances.end(),
-        [&](const InstanceDescription &Known) {
-          return Known.m_Name == Instance;
-        });
-    bool IsGone = Entry == m_Board.m_Directory.m_Instances.end();
-    bool IsDraining = !IsGone && Entry->m_State == InstanceState::Draining;
-    size_t Excess = Ids.size();
-    if (!IsGone && !IsDraining) {
-      size_t Share = shareOf(Entry->m_Database);
-      Excess = Ids.size() > Share ? Ids.size() - Share : 0;
-    }
-    for (uint64_t Id : Ids) {
+  std::vector<ConnectionId> Closing;
+  for (const std::pair<const InstanceName, std::vector<uint64_t>> &Used :
+       m_ByInstance) {
+    size_t Surplus = surplusOf(Used.first, Used.second.size());
+    for (uint64_t Id : Used.second) {
       const InstanceConnection &Connection = m_Connections.at(Id);
       bool IsUnused = Connection.m_Step == ConnectionStep::Idle &&
-                      (!IsDraining || Now - Connection.m_IdleSince >= kDrainIdle);
-      if (!IsUnused || Excess == 0)
+                      Now - Connection.m_IdleSince >= kSurplusIdle;
+      if (!IsUnused || Surplus == 0)
         continue;
-      --Excess;
-      Surplus.push_back(Connection.m_Id);
+      --Surplus;
+      Closing.push_back(Connection.m_Id);
     }
   }
-  for (ConnectionId Id : Surplus)
+  for (ConnectionId Id : Closing)
     close(Id);
 }
 
--- a/src/decision/session/InstancePool.h
+++ b/src/decision/session/InstancePool.h
@@ -54,23 +54,22 @@
   InstancePool(const ProxyBlackboard &Board, SessionActions &Actions)
       : m_Board(Board), m_Actions(Actions) {}
 
-  /// Returns an idle connection, or one that it opens (step Connecting), or null
-  /// when this host has no connection left for the instance. A connection whose
-  /// session values are already Values is preferred.
-  InstanceConnection *
-  acquire(const InstanceDescription &Instance,
-          const OrganisationName &Organisation,
-          const std::map<std::string, std::string> &Values, Time Now);
-  /// Whether acquire() would return a connection now, and whether it would be
-  /// opened first.
-  enum class Availability : uint8_t { None, New, Idle };
+  /// Returns an idle connection, or one that it opens (step Connecting), or
+  /// null when this host has no connection left for the instance. A connection
+  /// whose session values are already Values is preferred.
+  InstanceConnection *acquire(const InstanceDescription &Instance,
+                              const OrganisationName &Organisation,
+                              const std::map<std::string, std::string> &Values,
+                              Time Now);
+  /// What acquire() would do now: nothing, close a connection of another
+  /// organisation and open one, open one, or return an idle one.
+  enum class Availability : uint8_t { None, Replace, New, Idle };
   Availability availability(const InstanceName &Instance,
                             const OrganisationName &Organisation) const;
   InstanceConnection *find(ConnectionId Id);
   /// Sends a statement; the connection waits for its answer as Step.
-  void send(InstanceConnection &Connection, ConnectionStep Step,
-            Statement Sent, const std::optional<Position> &NotBefore,
-            Time Now);
+  void send(InstanceConnection &Connection, ConnectionStep Step, Statement Sent,
+            const std::optional<Position> &NotBefore, Time Now);
   void release(InstanceConnection &Connection, Time Now);
   /// Closes and forgets a connection; an open transaction rolls back.
   void close(ConnectionId Id);
@@ -88,7 +87,8 @@
   }
 
 private:
-
+  /// Connections to the instance beyond those that this host may keep.
+  size_t surplusOf(const InstanceName &Name, size_t Open) const;
   InstanceConnection &open(const InstanceDescription &Instance,
                            const OrganisationName &Organisation, Time Now);
 
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -40,10 +40,9 @@
   constexpr uint32_t kShareOfTarget = 5;
   return Session.m_Policy.m_TargetLatencyMs == 0
              ? kTokenWait
-             : std::min<Duration>(kTokenWait,
-                                  milliseconds(
-                                      Session.m_Policy.m_TargetLatencyMs /
-                                      kShareOfTarget));
+             : std::min<Duration>(
+                   kTokenWait, milliseconds(Session.m_Policy.m_TargetLatencyMs /
+                                            kShareOfTarget));
 }
 
 } // namespace
@@ -71,9 +70,9 @@
   Opened.m_LastActive = Now;
   std::optional<SessionError> Refusal = admit(Opened, Now);
   bool IsFull = m_Sessions.size() >= m_Limits.m_MaxSessions;
-  bool IsEnding = m_ShutdownAt && Now - *m_ShutdownAt >=
-                                      shareOf(m_Limits.m_ShutdownGrace,
-                                              kServeShare);
+  bool IsEnding =
+      m_ShutdownAt &&
+      Now - *m_ShutdownAt >= shareOf(m_Limits.m_ShutdownGrace, kServeShare);
   if (IsFull || IsEnding)
     Refusal = SessionError::Busy;
   if (Refusal) {
@@ -91,8 +90,8 @@
   act(AcceptSession{Event.m_Session});
 }
 
-std::optional<SessionError>
-SessionController::refusalOf(const Session &Session, Time Now) const {
+std::optional<SessionError> SessionController::refusalOf(const Session &Session,
+                                                         Time Now) const {
   if (!isFresh(Now))
     return SessionError::Busy;
   const Configuration &InForce = m_Board.m_Configuration;
@@ -279,8 +278,7 @@
 
 Target SessionController::targetOf(const Session &Session,
                                    const Statement &Statement) const {
-  bool IsPrimaryRoute =
-      Session.m_Policy.m_Guarantee == ReadGuarantee::Primary;
+  bool IsPrimaryRoute = Session.m_Policy.m_Guarantee == ReadGuarantee::Primary;
   if (Session.m_State != TransactionState::None) {
     if (!Session.m_IsReadOnly)
       return Target::Primary;
@@ -304,8 +302,8 @@
   answerLocally(Session, Now);
 }
 
-void SessionController::startPrepare(Session &Session, const Statement &Received,
-                                     Time Now) {
+void SessionController::startPrepare(Session &Session,
+                                     const Statement &Received, Time Now) {
   if (Session.m_Prepared.size() >= kMaxSessionNames &&
       !Session.m_Prepared.contains(Received.m_Name))
     return answerError(Session, SessionError::TooLarge,
@@ -318,16 +316,16 @@
 void SessionController::startDeallocate(Session &Session,
                                         const Statement &Received, Time Now) {
   if (Session.m_Prepared.erase(Received.m_Name) == 0)
-    return answerError(Session, SessionError::UnknownStatement,
-                       Received.m_Name, Now);
+    return answerError(Session, SessionError::UnknownStatement, Received.m_Name,
+                       Now);
   answerLocally(Session, Now);
 }
 
 // Admission.
 
 void SessionController::waitForToken(Session &Session, Time Now) {
-  bool IsLimited = m_Board.m_Configuration.organisations().contains(
-      Session.m_Organisation);
+  bool IsLimited =
+      m_Board.m_Configuration.organisations().contains(Session.m_Organisation);
   if (!IsLimited || m_Tokens.take(Session.m_Organisation, Now))
     return onAdmitted(Session, Now);
   Session.m_Task->m_IsWaitingForToken = true;
@@ -370,8 +368,8 @@
       continue;
     Session &Session = Found->second;
     if (!m_Tokens.takeForWaiter(Session.m_Organisation, Now)) {
-      m_Tokens.wait(Session.m_Organisation, Id, Session.m_Task->m_Deadline,
-                    Now, patienceOf(Session));
+      m_Tokens.wait(Session.m_Organisation, Id, Session.m_Task->m_Deadline, Now,
+                    patienceOf(Session));
       continue;
     }
     onAdmitted(Session, Now);
@@ -400,9 +398,9 @@
   Reply.m_ErrorText = Text;
   Reply.m_State = Session.m_State;
   act(ReportDecision{
-      "request " + Session.m_LastRequestId + " refused: " +
-          std::string(nameOf(Error)) + " (" + Text + "), organisation " +
-          Session.m_Organisation.m_Value + ", route " +
+      "request " + Session.m_LastRequestId +
+          " refused: " + std::string(nameOf(Error)) + " (" + Text +
+          "), organisation " + Session.m_Organisation.m_Value + ", route " +
           Session.m_Route.m_Value + ", policy version " +
           std::to_string(m_Board.m_Configuration.policy().m_Version),
       true});
@@ -455,8 +453,8 @@
   StatementKind Kind = Session.m_Task->m_Received.m_Statement.m_Kind;
   bool IsTransaction = Session.m_State != TransactionState::None;
   Session.m_Task.reset();
-  if (IsTransaction && (Kind == StatementKind::Commit ||
-                        Kind == StatementKind::Rollback)) {
+  if (IsTransaction &&
+      (Kind == StatementKind::Commit || Kind == StatementKind::Rollback)) {
     endTransaction(Session);
     // A rollback that found no connection has nothing left to undo.
     if (Kind == StatementKind::Rollback && Reply.m_Error)
@@ -545,20 +543,20 @@
 }
 
 CounterList SessionController::counters() const {
-  CounterList Result{
-      {"almondpier_sessions", "Sessions that are open",
-       static_cast<double>(m_Sessions.size())},
-      {"almondpier_sessions_opened_total", "Sessions opened",
-       static_cast<double>(m_Opened)},
-      {"almondpier_sessions_refused_total", "Sessions refused",
-       static_cast<double>(m_Refused)},
-      {"almondpier_statements_answered_total", "Statements answered",
-       static_cast<double>(m_Answered)},
-      {"almondpier_statements_failed_total",
-       "Statements answered with an error", static_cast<double>(m_Failed)},
-      {"almondpier_operations_rate_limited_total",
-       "Operations refused for the rate of their organisation",
-       static_cast<double>(m_RateLimited)}};
+  CounterList Result{{"almondpier_sessions", "Sessions that are open",
+                      static_cast<double>(m_Sessions.size())},
+                     {"almondpier_sessions_opened_total", "Sessions opened",
+                      static_cast<double>(m_Opened)},
+                     {"almondpier_sessions_refused_total", "Sessions refused",
+                      static_cast<double>(m_Refused)},
+                     {"almondpier_statements_answered_total",
+                      "Statements answered", static_cast<double>(m_Answered)},
+                     {"almondpier_statements_failed_total",
+                      "Statements answered with an error",
+                      static_cast<double>(m_Failed)},
+                     {"almondpier_operations_rate_limited_total",
+                      "Operations refused for the rate of their organisation",
+                      static_cast<double>(m_RateLimited)}};
   for (Counter &Counter : m_Executor.counters())
     Result.push_back(std::move(Counter));
   return Result;
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -72,8 +72,7 @@
   /// The token has come, or none is needed.
   void onAdmitted(Session &Session, Time Now);
   /// Why an operation may not run now.
-  std::optional<SessionError> refusalOf(const Session &Session,
-                                        Time Now) const;
+  std::optional<SessionError> refusalOf(const Session &Session, Time Now) const;
   /// Checks the key and reads the policy of the route for a new operation.
   std::optional<SessionError> admit(Session &Session, Time Now);
   Target targetOf(const Session &Session, const Statement &Statement) const;
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -26,8 +26,7 @@
       : m_Options(Options),
         m_Configuration(Options, m_Board, m_Links, m_ControlActions),
         m_Heartbeat(Options.m_Host.m_Name, m_Board, m_ControlActions),
-        m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions,
-                 &m_Board),
+        m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions, &m_Board),
         m_Sessions(Limits, m_Board, m_Tokens, m_Actions), m_LastHandled(Now) {}
 
   bool isReady(Time Now) const {
@@ -112,8 +111,9 @@
     bool IsReadyNow = isReady(Now);
     if (IsReadyNow != m_WasReady)
       m_ControlActions.push_back(ReportStateChange{
-          IsReadyNow ? "ready" : "not ready: the configuration cannot be proved "
-                                 "or the host shuts down"});
+          IsReadyNow ? "ready"
+                     : "not ready: the configuration cannot be proved "
+                       "or the host shuts down"});
     m_WasReady = IsReadyNow;
   }
 
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -24,17 +24,20 @@
 /// An instance that sent nothing for so long while a statement waits is taken
 /// for lost: above the slowest statements of a few hundred milliseconds.
 constexpr Duration kSilenceLimit = milliseconds(600);
-/// A connection takes two round trips and some work at the instance.
-constexpr Duration kConnectLimit = milliseconds(700);
+/// A connection takes two round trips and some work at the instance, for which
+/// it may wait behind a dozen statements.
+constexpr Duration kConnectLimit = milliseconds(400);
 constexpr Duration kTrimInterval = milliseconds(200);
 constexpr Duration kReportInterval = milliseconds(100);
-/// A new connection costs the instance about as much as a statement.
-constexpr double kNewConnectionMs = 14;
+/// A connection that replaces another costs the instance about as much as a
+/// statement, and again when the other one is wanted; a first one pays off.
+constexpr double kReplacedConnectionMs = 14;
+constexpr double kFirstConnectionMs = 3;
 /// Expected time of a statement at an instance that was not used yet.
 constexpr double kUnknownLatencyMs = 20;
 /// Writes need the primary, so a read that a replica can serve prefers the
 /// replica unless it is this much busier.
-constexpr double kPrimaryReadCost = 1.6;
+constexpr double kPrimaryReadCost = 2.5;
 
 bool isWrite(const Statement &Statement) {
   return Statement.m_Kind == StatementKind::Write ||
@@ -120,9 +123,9 @@
   Time Began = Session.m_State == TransactionState::None
                    ? Task.m_Received.m_ReceivedAt
                    : Session.m_TransactionSince;
-  const PrimarySample *Sample =
-      m_Views.sampleSince(Session.m_Policy.m_Database,
-                          Began - milliseconds(Session.m_Policy.m_MaxReadAgeMs));
+  const PrimarySample *Sample = m_Views.sampleSince(
+      Session.m_Policy.m_Database,
+      Began - milliseconds(Session.m_Policy.m_MaxReadAgeMs));
   // Without a recent position of the primary, only the primary itself shows
   // what a read must observe; the read brings a new sample.
   if (Sample == nullptr)
@@ -139,8 +142,8 @@
   const InstanceDescription *Instance = choose(Session, Needed, Now);
   if (Instance == nullptr)
     return false;
-  InstanceConnection *Connection = m_Pool.acquire(
-      *Instance, Session.m_Organisation, Session.m_Values, Now);
+  InstanceConnection *Connection =
+      m_Pool.acquire(*Instance, Session.m_Organisation, Session.m_Values, Now);
   if (Connection == nullptr)
     return false;
   Connection->m_Session = Session.m_Id;
@@ -154,9 +157,10 @@
                                  const InstanceDescription &Instance,
                                  Time Now) {
   const InstanceView &View = m_Views.viewOf(Instance.m_Name);
+  // One statement finds out whether an unreachable instance is back.
+  double Allowed = View.m_FailingSince ? 1 : View.m_Concurrency;
   return Now >= View.m_AvoidUntil &&
-         static_cast<double>(m_Pool.busyAt(Instance.m_Name)) + 1 <=
-             View.m_Concurrency &&
+         static_cast<double>(m_Pool.busyAt(Instance.m_Name)) + 1 <= Allowed &&
          m_Pool.availability(Instance.m_Name, Session.m_Organisation) !=
              InstancePool::Availability::None;
 }
@@ -186,9 +190,9 @@
   return Result;
 }
 
-const InstanceDescription *
-StatementExecutor::choose(const Session &Session, const Requirement &Needed,
-                          Time Now) {
+const InstanceDescription *StatementExecutor::choose(const Session &Session,
+                                                     const Requirement &Needed,
+                                                     Time Now) {
   const DatabaseName &Database = Session.m_Policy.m_Database;
   const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
   if (Needed.m_Target != Target::Recent) {
@@ -208,10 +212,11 @@
     double Latency =
         View.m_LatencyMs == 0 ? kUnknownLatencyMs : View.m_LatencyMs;
     double Cost =
-        Latency *
-        static_cast<double>(m_Pool.busyAt(Instance->m_Name) + 1);
+        Latency * static_cast<double>(m_Pool.busyAt(Instance->m_Name) + 1);
+    if (Place == InstancePool::Availability::Replace)
+      Cost += kReplacedConnectionMs;
     if (Place == InstancePool::Availability::New)
-      Cost += kNewConnectionMs;
+      Cost += kFirstConnectionMs;
     if (IsPrimary)
       Cost *= kPrimaryReadCost;
     // Another instance is tried first after a failure.
@@ -229,11 +234,11 @@
 
 bool StatementExecutor::synchronise(Session &Session,
                                     InstanceConnection &Connection, Time Now) {
-  bool HasForeign = std::any_of(
-      Connection.m_Values.begin(), Connection.m_Values.end(),
-      [&](const std::pair<const std::string, std::string> &Entry) {
-        return !Session.m_Values.contains(Entry.first);
-      });
+  bool HasForeign =
+      std::any_of(Connection.m_Values.begin(), Connection.m_Values.end(),
+                  [&](const std::pair<const std::string, std::string> &Entry) {
+                    return !Session.m_Values.contains(Entry.first);
+                  });
   if ((HasForeign || Connection.m_NeedsReset) && !Connection.m_InTransaction) {
     m_Pool.send(Connection, ConnectionStep::Reset,
                 ownStatement(StatementKind::Reset), std::nullopt, Now);
@@ -272,8 +277,7 @@
     return;
   Requirement Needed = requirementOf(Session);
   bool IsTransaction = Session.m_State != TransactionState::None;
-  bool NeedsBegin =
-      IsTransaction || Needed.m_Target == Target::ProvedPrimary;
+  bool NeedsBegin = IsTransaction || Needed.m_Target == Target::ProvedPrimary;
   if (NeedsBegin && !Connection.m_InTransaction)
     return sendBegin(Session, Connection, Needed, Now);
   sendMain(Session, Connection, Needed, Now);
@@ -282,9 +286,9 @@
 void StatementExecutor::sendBegin(Session &Session,
                                   InstanceConnection &Connection,
                                   const Requirement &Needed, Time Now) {
-  bool IsForwarded = Session.m_State != TransactionState::None &&
-                     (!Session.m_IsReadOnly ||
-                      Needed.m_Target == Target::Recent);
+  bool IsForwarded =
+      Session.m_State != TransactionState::None &&
+      (!Session.m_IsReadOnly || Needed.m_Target == Target::Recent);
   // Only a transaction that may write makes the instance check that it leads.
   Connection.m_ChecksLeadership =
       !IsForwarded || Session.m_BeginStatement.m_Kind == StatementKind::Begin;
@@ -449,8 +453,7 @@
                                        InstanceConnection &Connection,
                                        const StatementReply &Reply, Time Now) {
   if (!Reply.m_Error) {
-    const InstanceDescription *Instance =
-        m_Views.find(Connection.m_Instance);
+    const InstanceDescription *Instance = m_Views.find(Connection.m_Instance);
     if (Connection.m_ChecksLeadership && Instance != nullptr)
       m_Views.onLeadershipProved(*Instance, Reply.m_Position,
                                  Connection.m_SentAt, Now);
@@ -459,10 +462,9 @@
     return sendMain(Session, Connection, requirementOf(Session), Now);
   }
   InstanceName Instance = Connection.m_Instance;
-  std::string Why =
-      "refused to begin: " + std::string(nameOf(*Reply.m_Error));
-  SessionError Error = saysNotRun(*Reply.m_Error) ? *Reply.m_Error
-                                                  : SessionError::Busy;
+  std::string Why = "refused to begin: " + std::string(nameOf(*Reply.m_Error));
+  SessionError Error =
+      saysNotRun(*Reply.m_Error) ? *Reply.m_Error : SessionError::Busy;
   letGo(Connection, Now);
   retry(Session, Instance, Why, Error, Now);
 }
@@ -476,25 +478,25 @@
   const InstanceDescription *Instance = m_Views.find(Connection.m_Instance);
   InstanceName Name = Connection.m_Instance;
   if (!Reply.m_Error) {
-    bool IsProof = Connection.m_ChecksLeadership ||
-                   (Task.m_IsSingle && isWrite(Main));
+    bool IsProof =
+        Connection.m_ChecksLeadership || (Task.m_IsSingle && isWrite(Main));
     bool WroteNothing = isEnd(Main) && !Session.m_HasWritten;
     if (IsProof && !WroteNothing && Instance != nullptr &&
         Main.m_Kind != StatementKind::Rollback)
       m_Views.onLeadershipProved(*Instance, Reply.m_Position,
                                  Connection.m_SentAt, Now);
-    bool IsCommit = Main.m_Kind == StatementKind::Commit && Session.m_HasWritten;
+    bool IsCommit =
+        Main.m_Kind == StatementKind::Commit && Session.m_HasWritten;
     if ((IsCommit || (Task.m_IsSingle && isWrite(Main))) && Reply.m_Position)
       Session.m_LastCommit = std::max(Session.m_LastCommit, *Reply.m_Position);
   }
   if (Reply.m_Error == SessionError::UnknownStatement)
     Connection.m_Prepared.clear();
   bool CanRepeat =
-      Reply.m_Error &&
-      (saysNotRun(*Reply.m_Error) ||
-       *Reply.m_Error == SessionError::UnknownStatement ||
-       (*Reply.m_Error == SessionError::Failed && Task.m_IsSingle &&
-        !isWrite(Main)));
+      Reply.m_Error && (saysNotRun(*Reply.m_Error) ||
+                        *Reply.m_Error == SessionError::UnknownStatement ||
+                        (*Reply.m_Error == SessionError::Failed &&
+                         Task.m_IsSingle && !isWrite(Main)));
   if (CanRepeat && !isEnd(Main) &&
       (Task.m_IsSingle || Session.m_StatementsRun == 0)) {
     SessionError Error = *Reply.m_Error == SessionError::UnknownStatement
@@ -502,8 +504,8 @@
                              : *Reply.m_Error;
     Session.m_Pinned.reset();
     letGo(Connection, Now);
-    return retry(Session, Name, "answered " + std::string(nameOf(Error)),
-                 Error, Now);
+    return retry(Session, Name, "answered " + std::string(nameOf(Error)), Error,
+                 Now);
   }
   if (!IsTransaction) {
     letGo(Connection, Now);
@@ -563,10 +565,9 @@
       Session.m_State = TransactionState::Failed;
     return;
   }
-  bool IsRepeatable =
-      errorAfterLoss(Session) != SessionError::OutcomeUnknown &&
-      Session.m_StatementsRun == 0 &&
-      !isEnd(Session.m_Task->m_Received.m_Statement);
+  bool IsRepeatable = errorAfterLoss(Session) != SessionError::OutcomeUnknown &&
+                      Session.m_StatementsRun == 0 &&
+                      !isEnd(Session.m_Task->m_Received.m_Statement);
   if (IsRepeatable)
     return retry(Session, Instance, "lost the connection",
                  SessionError::Aborted, Now);
@@ -616,8 +617,7 @@
 StatementReply StatementExecutor::giveUp(Session &Session, Time Now) {
   Task &Task = *Session.m_Task;
   StatementReply Reply;
-  Reply.m_Error = Task.m_IsSent ? errorAfterLoss(Session)
-                                : SessionError::Busy;
+  Reply.m_Error = Task.m_IsSent ? errorAfterLoss(Session) : SessionError::Busy;
   Reply.m_ErrorText = Task.m_IsWaitingForInstance ? describeWait(Session, Now)
                       : Task.m_IsSent             ? "no answer in time"
                                                   : "no connection in time";
@@ -663,8 +663,8 @@
       continue;
     bool IsConnecting = Connection.m_Step == ConnectionStep::Connecting;
     Duration Waited = Now - Connection.m_SentAt;
-    bool IsHeard = m_Views.viewOf(Connection.m_Instance).m_HeardAt >=
-                   Connection.m_SentAt;
+    bool IsHeard =
+        m_Views.viewOf(Connection.m_Instance).m_HeardAt >= Connection.m_SentAt;
     if (Waited < (IsConnecting ? kConnectLimit : kSilenceLimit) ||
         (IsHeard && !IsConnecting))
       continue;
@@ -726,22 +726,21 @@
 }
 
 CounterList StatementExecutor::counters() const {
-  return {{"almondpier_instance_connections", "Connections to instances",
-           static_cast<double>(m_Pool.count())},
-          {"almondpier_instance_connections_opened_total",
-           "Connections to instances opened",
-           static_cast<double>(m_Pool.openedCount())},
-          {"almondpier_statements_waiting",
-           "Statements that wait for a connection",
-           static_cast<double>(m_Waiting.size())},
-          {"almondpier_statement_retries_total",
-           "Attempts repeated at an instance", static_cast<double>(m_Retries)},
-          {"almondpier_position_reads_total",
-           "Single reads sent with a position",
-           static_cast<double>(m_ReplicaReads)},
-          {"almondpier_proved_reads_total",
-           "Single reads for which the primary proved that it leads",
-           static_cast<double>(m_ProvedReads)}};
+  return {
+      {"almondpier_instance_connections", "Connections to instances",
+       static_cast<double>(m_Pool.count())},
+      {"almondpier_instance_connections_opened_total",
+       "Connections to instances opened",
+       static_cast<double>(m_Pool.openedCount())},
+      {"almondpier_statements_waiting", "Statements that wait for a connection",
+       static_cast<double>(m_Waiting.size())},
+      {"almondpier_statement_retries_total", "Attempts repeated at an instance",
+       static_cast<double>(m_Retries)},
+      {"almondpier_position_reads_total", "Single reads sent with a position",
+       static_cast<double>(m_ReplicaReads)},
+      {"almondpier_proved_reads_total",
+       "Single reads for which the primary proved that it leads",
+       static_cast<double>(m_ProvedReads)}};
 }
 
 } // namespace almondpier
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -4,11 +4,13 @@
 
 #include "decision/session/Session.h"
 
+#include <utility>
+
 namespace almondpier {
 
 /// Chooses an instance and a connection for each statement, brings the
-/// connection into the state of the session, and repeats elsewhere what provably
-/// did not run. A write or commit is never sent twice.
+/// connection into the state of the session, and repeats elsewhere what
+/// provably did not run. A write or commit is never sent twice.
 class StatementExecutor {
 public:
   struct Finished {
@@ -39,7 +41,7 @@
   void tick(Time Now);
   /// Whether a waiting task has waited as long as it may before it is refused.
   static bool hasWaitedEnough(const Session &Session, Time Now);
-  std::vector<Finished> takeFinished() { return std::move(m_Finished); }
+  std::vector<Finished> takeFinished() { return std::exchange(m_Finished, {}); }
 
   const InstancePool &pool() const { return m_Pool; }
   CounterList counters() const;
--- a/src/net/LineStream.cpp
+++ b/src/net/LineStream.cpp
@@ -39,8 +39,8 @@
     evbuffer *Input = bufferevent_get_input(m_Connection.get());
     while (!m_IsClosing && !m_IsFinished) {
       size_t Length = 0;
-      evbuffer_ptr End = evbuffer_search_eol(Input, nullptr, &Length,
-                                             EVBUFFER_EOL_CRLF);
+      evbuffer_ptr End =
+          evbuffer_search_eol(Input, nullptr, &Length, EVBUFFER_EOL_CRLF);
       size_t Bytes = End.pos < 0 ? evbuffer_get_length(Input)
                                  : static_cast<size_t>(End.pos);
       if (Bytes > m_Limits.m_MaxLineBytes)
@@ -151,8 +151,9 @@
     std::unique_ptr<LineStream::State> Accepted =
         std::make_unique<LineStream::State>();
     Accepted->m_Limits = m_Limits;
-    Accepted->adopt(bufferevent_socket_new(
-        m_Loop.base(), Socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    Accepted->adopt(bufferevent_socket_new(m_Loop.base(), Socket,
+                                           BEV_OPT_CLOSE_ON_FREE |
+                                               BEV_OPT_DEFER_CALLBACKS));
     m_OnAccept(std::make_unique<LineStream>(std::move(Accepted)));
   }
 };
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -43,11 +43,10 @@
       : m_Loop(Loop), m_Core(optionsOf(Settings), Loop.now()),
         m_Events(Loop, m_Core), m_Instances(Loop, m_Events),
         m_Prober(Loop, m_Events),
-        m_Links(Loop, FleetSecret{Settings.m_FleetSecret},
-                Settings.m_Host.m_Forward,
-                [this](ProxyEvent Event) {
-                  m_Events.dispatch(std::move(Event));
-                }),
+        m_Links(
+            Loop, FleetSecret{Settings.m_FleetSecret},
+            Settings.m_Host.m_Forward,
+            [this](ProxyEvent Event) { m_Events.dispatch(std::move(Event)); }),
         m_Callers(Loop, Settings.m_Listen, Settings.m_MaxConnections, m_Events,
                   {[this] { return m_Core.isReady(m_Loop.now()); },
                    [this] { return metrics(); }}),
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -31,16 +31,16 @@
                                      const SessionServerSettings &Settings)
     : m_Loop(Loop), m_Settings(Settings),
       m_Core(optionsOf(Settings), Settings.m_Limits, Loop.now()),
-      m_Links(Loop, FleetSecret{Settings.m_FleetSecret},
-              Settings.m_Host.m_Forward,
-              [this](ProxyEvent Event) { dispatchLinkEvent(std::move(Event)); }),
+      m_Links(
+          Loop, FleetSecret{Settings.m_FleetSecret}, Settings.m_Host.m_Forward,
+          [this](ProxyEvent Event) { dispatchLinkEvent(std::move(Event)); }),
       m_Listener(Loop, Settings.m_Listen, Settings.m_CallerLimits,
                  [this](std::unique_ptr<LineStream> Stream) {
                    accept(std::move(Stream));
                  }),
-      m_Health(Loop, Settings.m_Health, HttpServerLimits(),
-               {[this](const HttpServerRequest &Request) { handle(Request); },
-                {}}),
+      m_Health(
+          Loop, Settings.m_Health, HttpServerLimits(),
+          {[this](const HttpServerRequest &Request) { handle(Request); }, {}}),
       m_Tick(Loop, kTickInterval, [this] { tick(); }) {
   writeLog(LogLevel::Info,
            "listening for sessions on " + formatEndpoint(Settings.m_Listen) +
@@ -198,9 +198,9 @@
   std::vector<SessionId> Unopened;
   for (auto It = m_Callers.begin(); It != m_Callers.end();) {
     Caller &Peer = It->second;
-    bool IsDone = Peer.m_ClosingSince &&
-                  (Peer.m_Stream->isFinished() ||
-                   Now - *Peer.m_ClosingSince >= kCloseLimit);
+    bool IsDone =
+        Peer.m_ClosingSince && (Peer.m_Stream->isFinished() ||
+                                Now - *Peer.m_ClosingSince >= kCloseLimit);
     if (!Peer.m_HasOpened && !Peer.m_ClosingSince &&
         Now - Peer.m_ConnectedAt >= m_Settings.m_OpenTimeout)
       Unopened.push_back(SessionId{It->first});
@@ -261,9 +261,8 @@
   if (Request.m_Path == m_Settings.m_ReadyPath)
     Response.m_Status = m_Core.isReady(m_Loop.now()) ? kOk : kUnavailable;
   if (Request.m_Path == "/metrics")
-    Response = HttpResponse{kOk,
-                            {{"Content-Type", "text/plain; version=0.0.4"}},
-                            metrics()};
+    Response = HttpResponse{
+        kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics()};
   m_Health.reply(Request.m_Id, Response);
 }
 
--- a/tests/control/Simulation.h
+++ b/tests/control/Simulation.h
@@ -48,6 +48,11 @@
 public:
   static constexpr LinkId kProxyLink{1'000'000};
 
+  /// All control hosts but the last Joining ones form the cluster together.
+  static Simulation founded(size_t Founders, size_t Joining = 0) {
+    return Simulation(Founders, Joining);
+  }
+
   explicit Simulation(size_t ControlHosts) {
     for (size_t Index = 0; Index < ControlHosts; ++Index)
       addControl(HostName{"c" + std::to_string(Index)});
@@ -322,12 +327,28 @@
   std::map<HostName, SimulatedHost> m_Hosts;
   /// Decides about a request to an instance; all are answered when not set.
   std::function<CallFate(size_t Control, const CallInstance &)> m_CallFate;
+  /// Calls about groups, and what answers them; none are answered when not set.
+  std::vector<CallGroup> m_GroupCalls;
+  std::function<std::optional<GroupCallAnswered>(const CallGroup &)>
+      m_GroupAnswer;
   std::function<void(size_t Control)> m_AfterEvent;
   bool m_Announces = false;
   /// Successful promotions: instances by term.
   std::map<uint64_t, std::set<InstanceName>> m_Promoted;
 
 private:
+  Simulation(size_t Founders, size_t Joining) {
+    for (size_t Index = 0; Index < Founders + Joining; ++Index)
+      addControl(HostName{"c" + std::to_string(Index)});
+    std::vector<ControlMember> Members;
+    for (size_t Index = 0; Index < Founders; ++Index)
+      Members.push_back(m_Controls[Index].m_Member);
+    for (size_t Index = 0; Index < Founders; ++Index) {
+      m_Controls[Index].m_Disk = makeInitialLog(Members);
+      m_Controls[Index].m_ClusterId = kClusterId;
+    }
+  }
+
   using End = std::pair<size_t, LinkId>;
 
   void later(std::function<void()> Action, Duration After = milliseconds(1)) {
@@ -409,6 +430,18 @@
         handle(Far.first, MessageReceived{Far.second, Sent});
     });
   }
+  void carryOut(size_t Index, const CallGroup &Action) {
+    m_GroupCalls.push_back(Action);
+    if (!m_GroupAnswer)
+      return;
+    later([this, Index, Action] {
+      std::optional<GroupCallAnswered> Answer = m_GroupAnswer(Action);
+      if (!Answer)
+        return;
+      Answer->m_Call = Action.m_Call;
+      handle(Index, *Answer);
+    });
+  }
   void carryOut(size_t Index, const CallInstance &Action) {
     CallFate Fate = m_CallFate ? m_CallFate(Index, Action) : CallFate::Answered;
     SimulatedInstance *Target = nullptr;
--- a/tests/proxy/FakeControl.h
+++ b/tests/proxy/FakeControl.h
@@ -34,6 +34,9 @@
     Reply.m_ControlMembers = m_Members;
     if (Poll.m_LiveHostsVersion != m_Live.m_Version)
       Reply.m_LiveHosts = m_Live;
+    if (m_Directory.m_Version != 0 &&
+        Poll.m_DirectoryVersion != m_Directory.m_Version)
+      Reply.m_Directory = m_Directory;
     if (Poll.m_AppliedIndex >= m_Log.size())
       return {Reply};
     if (Poll.m_AppliedIndex != 0) {
@@ -49,6 +52,7 @@
       Reply.m_SnapshotOffset = Offset;
       Reply.m_SnapshotBytes = Whole.size();
       Parts.push_back(Reply);
+      Reply.m_Directory.reset();
     }
     return Parts;
   }
@@ -69,6 +73,7 @@
   Configuration m_Configuration;
   std::vector<Change> m_Log;
   LiveHosts m_Live;
+  InstanceDirectory m_Directory;
   std::vector<ControlMember> m_Members;
   HostName m_Leader;
   size_t m_ChunkBytes = 700;
