--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -39,6 +39,7 @@
   bool m_IsWaitingForToken = false;
   /// Waits for a connection; nothing was sent for it.
   bool m_IsWaitingForInstance = false;
+  Time m_WaitingSince;
   /// The statement itself was sent.
   bool m_IsSent = false;
   std::optional<ConnectionId> m_Connection;
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -71,7 +71,7 @@
   Duration Limit = milliseconds(Session.m_Policy.m_StatementTimeoutMs) *
                    kWaitShareFactor / kWaitShareDivisor;
   return Task.m_IsWaitingForInstance &&
-         Now - Task.m_Received.m_ReceivedAt >= Limit;
+         Now - Task.m_WaitingSince >= Limit;
 }
 
 bool StatementExecutor::spendRetry() {
@@ -95,6 +95,7 @@
   if (dispatch(Session, Now))
     return;
   Session.m_Task->m_IsWaitingForInstance = true;
+  Session.m_Task->m_WaitingSince = Now;
   m_Waiting.push_back(Session.m_Id);
 }
 
