Test policy documents, the directory, promotions and the adapter

Cause: what was built for the platform had tests for sessions only. Change: policy versions and founders, late check-ins and reused addresses, the choice and fencing of promotions, sealing before a promotion with synchronous replicas, removal of a silent voter, mutated lines and documents, the settings file.

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -70,8 +70,7 @@
   const Task &Task = *Session.m_Task;
   Duration Limit = milliseconds(Session.m_Policy.m_StatementTimeoutMs) *
                    kWaitShareFactor / kWaitShareDivisor;
-  return Task.m_IsWaitingForInstance &&
-         Now - Task.m_WaitingSince >= Limit;
+  return Task.m_IsWaitingForInstance && Now - Task.m_WaitingSince >= Limit;
 }
 
 bool StatementExecutor::spendRetry() {
--- /dev/null
+++ b/tests/control/PolicyTest.cpp
@@ -0,0 +1,162 @@
+#include "control/Simulation.h"
+
+using namespace almondpier;
+using namespace almondpier::controltest;
+
+namespace {
+
+InstallPolicy policyOf(uint64_t Version, const std::string &Source) {
+  InstallPolicy Install;
+  Install.m_Policy.m_Version = Version;
+  Install.m_Policy.m_Organisations[OrganisationName{"ann"}] =
+      OrganisationPolicy{{digestOfKey(Source)}, Limit{10, 10}};
+  Install.m_Source = Source;
+  return Install;
+}
+
+OperationId submit(Simulation &Sim, size_t Index, uint64_t Number,
+                   const InstallPolicy &Install) {
+  OperationId Id{Number};
+  Sim.handle(Index, PolicySubmitted{Id, Install});
+  return Id;
+}
+
+bool isAccepted(Simulation &Sim, size_t Index, OperationId Id) {
+  std::optional<ReplyToOperation> Reply = Sim.reply(Index, Id);
+  return Reply && Reply->m_Outcome && Reply->m_Outcome->m_Accepted;
+}
+
+} // namespace
+
+TEST_CASE("policy: founders that start together form one cluster, also without "
+          "one of them") {
+  Simulation Sim = Simulation::founded(3);
+  Sim.start(0);
+  Sim.run(milliseconds(300));
+  CHECK(!Sim.leader());
+  Sim.start(1);
+  REQUIRE(Sim.runUntil([&] { return Sim.leader().has_value(); }));
+  Sim.start(2);
+  Sim.run(std::chrono::seconds(2));
+  std::set<uint64_t> Terms;
+  for (size_t Index = 0; Index < 3; ++Index) {
+    CHECK(Sim.board(Index).m_Membership.m_Voters.size() == 3);
+    Terms.insert(Sim.board(Index).m_Term);
+  }
+  CHECK(Terms.size() == 1);
+}
+
+TEST_CASE("policy: a host with an empty folder joins founders and never forms "
+          "a cluster") {
+  Simulation Sim = Simulation::founded(3, 1);
+  Sim.start(3);
+  Sim.run(std::chrono::seconds(3));
+  CHECK(!Sim.m_Controls[3].m_Core->isReady());
+  for (size_t Index = 0; Index < 3; ++Index)
+    Sim.start(Index);
+  REQUIRE(Sim.awaitVoters(4));
+}
+
+TEST_CASE("policy: the highest version counts, an older one is acknowledged "
+          "and changes nothing") {
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  size_t Leader = *Sim.leader();
+  OperationId New = submit(Sim, Leader, 1'001, policyOf(7, "seven"));
+  REQUIRE(Sim.runUntil([&] { return isAccepted(Sim, Leader, New); }));
+  OperationId Old = submit(Sim, Leader, 1'002, policyOf(5, "five"));
+  OperationId Same = submit(Sim, Leader, 1'003, policyOf(7, "other"));
+  REQUIRE(Sim.runUntil([&] {
+    return isAccepted(Sim, Leader, Old) && isAccepted(Sim, Leader, Same);
+  }));
+  Sim.run(milliseconds(500));
+  for (size_t Index = 0; Index < 3; ++Index) {
+    CHECK(Sim.board(Index).m_State.policySource() == "seven");
+    CHECK(Sim.board(Index).configuration().policy().m_Version == 7);
+    CHECK(Sim.board(Index).configuration().findKey(digestOfKey("five")) ==
+          nullptr);
+  }
+}
+
+TEST_CASE("policy: of versions that race, the highest is in force everywhere "
+          "and after a restart") {
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  size_t Leader = *Sim.leader();
+  for (uint64_t Version : {9, 4, 12, 11})
+    submit(Sim, Leader, 2'000 + Version,
+           policyOf(Version, std::to_string(Version)));
+  Sim.run(milliseconds(500));
+  for (size_t Index = 0; Index < 3; ++Index)
+    Sim.stop(Index);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Sim.start(Index);
+  REQUIRE(Sim.runUntil([&] { return Sim.leader().has_value(); }));
+  CHECK(Sim.board(*Sim.leader()).m_State.policySource() == "12");
+}
+
+TEST_CASE("policy: proxies get the decoded policy without its source") {
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  size_t Leader = *Sim.leader();
+  Sim.addHost("h1");
+  Sim.poll(Leader, HostName{"h1"});
+  REQUIRE(Sim.runUntil([&] { return Sim.lastPollReply(Leader) != nullptr; }));
+  uint64_t Applied = Sim.lastPollReply(Leader)->m_AppliedIndex;
+  submit(Sim, Leader, 3'001, policyOf(3, "secret key text"));
+  Sim.run(milliseconds(300));
+  Sim.poll(Leader, HostName{"h1"}, Applied);
+  REQUIRE(Sim.runUntil([&] { return Sim.lastPollReply(Leader) != nullptr; }));
+  bool HasPolicy = false;
+  for (const Change &Sent : Sim.lastPollReply(Leader)->m_Changes)
+    if (const InstallPolicy *Install =
+            std::get_if<InstallPolicy>(&Sent.m_Body)) {
+      HasPolicy = true;
+      CHECK(Install->m_Source.empty());
+      CHECK(Install->m_Policy.m_Version == 3);
+    }
+  CHECK(HasPolicy);
+}
+
+TEST_CASE("policy: an isolated host proves nothing and accepts nothing new") {
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  size_t Leader = *Sim.leader();
+  Sim.m_Controls[Leader].m_IsIsolated = true;
+  OperationId Id = submit(Sim, Leader, 4'001, policyOf(3, "three"));
+  Sim.handle(Leader, OperatorRead{OperationId{4'002}});
+  Sim.run(std::chrono::seconds(4));
+  CHECK(!isAccepted(Sim, Leader, Id));
+  std::optional<ReplyToOperation> Read = Sim.reply(Leader, OperationId{4'002});
+  CHECK((!Read || Read->m_Error));
+}
+
+TEST_CASE("policy: a limit that counts over a window lends at most rate x "
+          "window + burst in it") {
+  Limit Spread = spreadOver(Limit{100, 100}, std::chrono::seconds(5));
+  double InUse = Spread.m_RatePerSecond * 0.3;
+  double AtOnce = Spread.m_Burst - InUse;
+  CHECK(AtOnce + 5 * Spread.m_RatePerSecond <= doctest::Approx(600));
+  CHECK(Spread.m_RatePerSecond > 100);
+  Limit Same = spreadOver(Limit{100, 50}, Duration{});
+  CHECK((Same == Limit{100, 50}));
+}
+
+TEST_CASE("membership: a voter that is gone makes room once another one took "
+          "its place") {
+  // Pattern: a control machine is replaced at another address. With the old one
+  // still counted, the next loss would have stopped the cluster.
+  Simulation Sim(4);
+  REQUIRE(Sim.awaitVoters(4));
+  size_t Gone = (*Sim.leader() + 1) % 4;
+  MemberId Id = Sim.m_Controls[Gone].m_Member.m_Id;
+  Sim.stop(Gone);
+  REQUIRE(Sim.runUntil([&] {
+    return Sim.leader() &&
+           Sim.board(*Sim.leader()).m_Membership.m_Voters.size() == 3;
+  }));
+  CHECK(Sim.board(*Sim.leader()).findMember(Id) == nullptr);
+  // It joins again when it returns.
+  Sim.start(Gone);
+  REQUIRE(Sim.awaitVoters(4));
+}
--- /dev/null
+++ b/tests/control/PromotionTest.cpp
@@ -0,0 +1,228 @@
+#include "control/Simulation.h"
+
+using namespace almondpier;
+using namespace almondpier::controltest;
+
+namespace {
+
+const DatabaseName kGroup{"records"};
+
+InstanceCheckIn checkInOf(const std::string &Name, bool IsPrimary,
+                          uint64_t Sequence, uint16_t Port,
+                          uint64_t StartedAtMs = 1'000) {
+  InstanceCheckIn CheckIn;
+  CheckIn.m_Instance.m_Name = InstanceName{Name};
+  CheckIn.m_Instance.m_Database = kGroup;
+  CheckIn.m_Instance.m_Statements = {"127.0.0.1", Port};
+  CheckIn.m_Instance.m_IsPrimary = IsPrimary;
+  CheckIn.m_Instance.m_StartedAtMs = StartedAtMs;
+  CheckIn.m_Sequence = Sequence;
+  return CheckIn;
+}
+
+/// A cluster with a directory of three instances, the first of which leads.
+class Group {
+public:
+  explicit Group(uint32_t SyncReplicas = 0) : m_Sim(3) {
+    REQUIRE(m_Sim.awaitVoters(3));
+    InstallPolicy Install;
+    Install.m_Policy.m_Version = 1;
+    Install.m_Policy.m_Groups[kGroup] = GroupPolicy{20, SyncReplicas};
+    m_Sim.handle(leader(), PolicySubmitted{nextOperation(), Install});
+    for (const char *Name : {"h1", "h2", "h3", "h4"})
+      m_Sim.addHost(Name);
+    checkInAll();
+    m_Sim.run(std::chrono::seconds(3));
+    checkInAll();
+  }
+
+  size_t leader() { return *m_Sim.leader(); }
+  void checkIn(const InstanceCheckIn &CheckIn) {
+    m_Sim.handle(leader(), InstanceCheckedIn{nextOperation(), CheckIn});
+  }
+  void checkInAll() {
+    ++m_Sequence;
+    checkIn(checkInOf("a", true, m_Sequence, 1));
+    checkIn(checkInOf("b", false, m_Sequence, 2));
+    checkIn(checkInOf("c", false, m_Sequence, 3));
+  }
+  /// Runs while all instances but the primary check in.
+  void runWithoutPrimary(Duration Time) {
+    for (almondpier::Time End = m_Sim.m_Now + Time; m_Sim.m_Now < End;) {
+      ++m_Sequence;
+      checkIn(checkInOf("b", false, m_Sequence, 2));
+      checkIn(checkInOf("c", false, m_Sequence, 3));
+      m_Sim.run(milliseconds(500));
+    }
+  }
+  void reportLost(const std::vector<std::string> &Hosts) {
+    for (const std::string &Host : Hosts)
+      m_Sim.m_Hosts[HostName{Host}].m_Reports = {
+          InstanceReport{kGroup, InstanceName{"a"}, 600, {}, 0, false}};
+  }
+  std::vector<CallGroup> promotions() const {
+    std::vector<CallGroup> Result;
+    for (const CallGroup &Call : m_Sim.m_GroupCalls)
+      if (Call.m_Kind == GroupCallKind::Promote)
+        Result.push_back(Call);
+    return Result;
+  }
+  const InstanceDescription *entry(const std::string &Name) {
+    for (const InstanceDescription &Instance :
+         m_Sim.board(leader()).m_Directory.m_Instances)
+      if (Instance.m_Name.m_Value == Name)
+        return &Instance;
+    return nullptr;
+  }
+  /// Replicas answer with the positions 5 and 9.
+  void answerPositions() {
+    m_Sim.m_GroupAnswer =
+        [](const CallGroup &Call) -> std::optional<GroupCallAnswered> {
+      GroupCallAnswered Answer;
+      Answer.m_Outcome = GroupCallOutcome::Done;
+      Answer.m_Term = 3;
+      Answer.m_Received = {
+          3, Call.m_Instance.m_Name.m_Value == "c" ? uint64_t{9} : uint64_t{5}};
+      return Answer;
+    };
+  }
+
+  Simulation m_Sim;
+  uint64_t m_Sequence = 0;
+
+private:
+  OperationId nextOperation() { return OperationId{10'000 + ++m_Operations}; }
+  uint64_t m_Operations = 0;
+};
+
+} // namespace
+
+TEST_CASE("promotion: a primary that several hosts cannot reach is replaced by "
+          "the most advanced replica") {
+  Group Test;
+  Test.answerPositions();
+  Test.reportLost({"h1", "h2"});
+  Test.runWithoutPrimary(milliseconds(1'500));
+  REQUIRE(!Test.promotions().empty());
+  CHECK(Test.promotions().front().m_Instance.m_Name.m_Value == "c");
+  CHECK(Test.promotions().front().m_FencingToken > 0);
+}
+
+TEST_CASE("promotion: the report of one host that is cut off is no evidence") {
+  Group Test;
+  Test.answerPositions();
+  Test.reportLost({"h1"});
+  for (int Step = 0; Step < 8; ++Step) {
+    Test.checkInAll();
+    Test.m_Sim.run(milliseconds(500));
+  }
+  CHECK(Test.promotions().empty());
+}
+
+TEST_CASE("promotion: a departing primary is replaced while it still serves") {
+  Group Test;
+  Test.answerPositions();
+  InstanceCheckIn Draining = checkInOf("a", true, 900, 1);
+  Draining.m_Instance.m_State = InstanceState::Draining;
+  Test.checkIn(Draining);
+  Test.m_Sim.run(milliseconds(600));
+  REQUIRE(!Test.promotions().empty());
+  CHECK(Test.promotions().front().m_Instance.m_Name.m_Value == "c");
+}
+
+TEST_CASE(
+    "promotion: fencing tokens rise with every attempt and every leader") {
+  Group Test;
+  Test.answerPositions();
+  std::function<std::optional<GroupCallAnswered>(const CallGroup &)> Positions =
+      Test.m_Sim.m_GroupAnswer;
+  Test.m_Sim.m_GroupAnswer = [&](const CallGroup &Call) {
+    std::optional<GroupCallAnswered> Answer = Positions(Call);
+    if (Call.m_Kind == GroupCallKind::Promote)
+      Answer->m_Outcome = GroupCallOutcome::Unknown;
+    return Answer;
+  };
+  Test.reportLost({"h1", "h2", "h3"});
+  Test.runWithoutPrimary(milliseconds(3'000));
+  Test.m_Sim.stop(Test.leader());
+  REQUIRE(Test.m_Sim.runUntil([&] { return Test.m_Sim.leader().has_value(); }));
+  Test.runWithoutPrimary(milliseconds(8'000));
+  std::vector<CallGroup> Calls = Test.promotions();
+  REQUIRE(Calls.size() >= 3);
+  for (size_t Index = 1; Index < Calls.size(); ++Index)
+    CHECK(Calls[Index].m_FencingToken > Calls[Index - 1].m_FencingToken);
+}
+
+TEST_CASE("promotion: with a synchronous replica, every replica that may hold "
+          "an acknowledged commit is sealed and heard first") {
+  Group Test(1);
+  Test.answerPositions();
+  std::function<std::optional<GroupCallAnswered>(const CallGroup &)> Positions =
+      Test.m_Sim.m_GroupAnswer;
+  Test.m_Sim.m_GroupAnswer =
+      [&](const CallGroup &Call) -> std::optional<GroupCallAnswered> {
+    if (Call.m_Instance.m_Name.m_Value == "c")
+      return GroupCallAnswered{{}, GroupCallOutcome::Unknown, {}, 0, false};
+    return Positions(Call);
+  };
+  Test.reportLost({"h1", "h2", "h3"});
+  Test.runWithoutPrimary(milliseconds(3'000));
+  CHECK(Test.promotions().empty());
+  Test.m_Sim.m_GroupAnswer = Positions;
+  Test.runWithoutPrimary(milliseconds(2'000));
+  REQUIRE(!Test.promotions().empty());
+  CHECK(Test.promotions().front().m_Instance.m_Name.m_Value == "c");
+  bool HasSealed = false;
+  for (const CallGroup &Call : Test.m_Sim.m_GroupCalls)
+    HasSealed = HasSealed || Call.m_Kind == GroupCallKind::SealReplica;
+  CHECK(HasSealed);
+}
+
+TEST_CASE("directory: late check-ins of an earlier boot or number change "
+          "nothing") {
+  Group Test;
+  InstanceCheckIn Newer = checkInOf("b", false, 1, 2, 5'000);
+  Test.checkIn(Newer);
+  InstanceCheckIn Late = checkInOf("b", true, 80, 2, 1'000);
+  Test.checkIn(Late);
+  Test.m_Sim.run(milliseconds(50));
+  REQUIRE(Test.entry("b") != nullptr);
+  CHECK(!Test.entry("b")->m_IsPrimary);
+  CHECK(Test.entry("b")->m_StartedAtMs == 5'000);
+}
+
+TEST_CASE("directory: an address that was reused belongs to the later boot") {
+  Group Test;
+  Test.checkIn(checkInOf("d", false, 1, 2, 9'000));
+  Test.m_Sim.run(milliseconds(50));
+  CHECK(Test.entry("d") != nullptr);
+  CHECK(Test.entry("b") == nullptr);
+  // The dead instance's check-in was held up by a partition.
+  Test.checkIn(checkInOf("b", false, 500, 2, 1'000));
+  Test.m_Sim.run(milliseconds(50));
+  CHECK(Test.entry("d") != nullptr);
+  CHECK(Test.entry("b") == nullptr);
+}
+
+TEST_CASE("directory: an instance that left does not come back with a late "
+          "check-in") {
+  Group Test;
+  InstanceCheckIn Leaving;
+  Leaving.m_Instance.m_Name = InstanceName{"c"};
+  Leaving.m_IsLeaving = true;
+  Test.checkIn(Leaving);
+  Test.checkIn(checkInOf("c", false, 700, 3));
+  Test.m_Sim.run(milliseconds(50));
+  CHECK(Test.entry("c") == nullptr);
+}
+
+TEST_CASE("directory: a primary behind a partition keeps its claim to itself") {
+  // Hosts went on using a primary that was cut off, because its last check-in
+  // still claimed the role after another one had been promoted.
+  Group Test;
+  Test.checkIn(checkInOf("c", true, 600, 3));
+  Test.m_Sim.run(milliseconds(50));
+  REQUIRE(Test.entry("a") != nullptr);
+  CHECK(!Test.entry("a")->m_IsPrimary);
+  CHECK(Test.entry("c")->m_IsPrimary);
+}
--- /dev/null
+++ b/tests/platform/DocumentsTest.cpp
@@ -0,0 +1,145 @@
+#include "platform/src/Documents.h"
+#include "platform/src/SettingsFile.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace almondpier;
+using namespace almondpier::platform;
+
+namespace {
+
+constexpr std::chrono::seconds kWindow{5};
+
+const std::string kConfiguration =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r1","host":"xapu","pathPrefix":"/","type":"bounded_staleness",)"
+    R"("timeoutMs":2000,"sloMs":500,"priority":2,"service":"huvo",)"
+    R"("maxAttempts":2,"maxStalenessMs":1500,"allowAnonymous":false},)"
+    R"({"name":"r2","host":"lepu","pathPrefix":"/","type":"primary",)"
+    R"("timeoutMs":800,"sloMs":150,"priority":1,"service":"huvo",)"
+    R"("maxAttempts":2,"allowAnonymous":true}],)"
+    R"("services":[{"name":"huvo","maxConns":50,"syncReplicas":1}],)"
+    R"("limits":{"txIdleMs":3000},)"
+    R"("tenants":[{"name":"nypu","apiKeys":["k1","k2"],"priority":1,)"
+    R"("ratePerS":130,"burst":130}]})";
+
+std::string replaced(const std::string &From, const std::string &To) {
+  std::string Text = kConfiguration;
+  size_t Place = Text.find(From);
+  REQUIRE(Place != std::string::npos);
+  return Text.replace(Place, From.size(), To);
+}
+
+} // namespace
+
+TEST_CASE("documents: a configuration is decoded into the product's types") {
+  InstallPolicy Install = decodeConfiguration(kConfiguration, kWindow);
+  const FleetPolicy &Policy = Install.m_Policy;
+  CHECK(Policy.m_Version == 7);
+  CHECK(Install.m_Source == kConfiguration);
+  CHECK(Policy.m_TransactionIdleMs == 3'000);
+  const RoutePolicy &Aged = Policy.m_Routes.at(RouteName{"xapu"});
+  CHECK(Aged.m_Guarantee == ReadGuarantee::BoundedAge);
+  CHECK(Aged.m_MaxReadAgeMs == 1'500);
+  CHECK(Aged.m_Database == DatabaseName{"huvo"});
+  CHECK(Policy.m_Routes.at(RouteName{"lepu"}).m_AllowsAnonymous);
+  CHECK(Policy.m_Groups.at(DatabaseName{"huvo"}).m_ConnectionLimit == 50);
+  CHECK(Policy.m_Groups.at(DatabaseName{"huvo"}).m_SyncReplicas == 1);
+  const OrganisationPolicy &Organisation =
+      Policy.m_Organisations.at(OrganisationName{"nypu"});
+  CHECK(Organisation.m_Keys.size() == 2);
+  CHECK(Organisation.m_Limit.m_RatePerSecond > 130);
+}
+
+TEST_CASE("documents: an invalid configuration is refused") {
+  std::vector<std::string> Invalid{
+      "",
+      "{",
+      "[]",
+      "null",
+      kConfiguration.substr(0, kConfiguration.size() - 1),
+      replaced(R"("service":"huvo")", R"("service":"none")"),
+      replaced(R"("timeoutMs":800)", R"("timeoutMs":0)"),
+      replaced(R"("timeoutMs":800)", R"("timeoutMs":"800")"),
+      replaced(R"("timeoutMs":800)", R"("timeoutMs":-1)"),
+      replaced(R"("host":"lepu")", R"("host":"xapu")"),
+      replaced(R"(["k1","k2"])", R"(["k1","k1"])"),
+      replaced(R"(["k1","k2"])", R"(["k1",2])"),
+      replaced(R"("type":"primary")", R"("type":"other")"),
+      replaced(R"("version":7)", R"("version":"7")"),
+      replaced(R"("version":7)", R"("version":7.5)"),
+      replaced(R"("version":7,)", ""),
+      replaced(R"("tenants")", R"("others")"),
+      replaced(R"("limits":{"txIdleMs":3000})", R"("limits":3)")};
+  for (const std::string &Text : Invalid) {
+    CAPTURE(Text);
+    CHECK_THROWS_AS(decodeConfiguration(Text, kWindow), Error);
+  }
+}
+
+TEST_CASE("documents: fields that come later are ignored") {
+  CHECK_NOTHROW(decodeConfiguration(
+      replaced(R"("version":7)", R"("version":7,"later":{"x":[1]})"), kWindow));
+}
+
+TEST_CASE("documents: check-ins of foreign writers name no instance") {
+  const std::string Good =
+      R"({"service":"huvo","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
+      R"("slots":3,"state":"ready","warmupLeftMs":0,"dbRole":"primary",)"
+      R"("seq":4,"born":1700000000000})";
+  InstanceCheckIn CheckIn = decodeCheckIn("i-1", Good);
+  CHECK(CheckIn.m_Instance.m_IsPrimary);
+  CHECK(CheckIn.m_Instance.m_StartedAtMs == 1'700'000'000'000);
+  CHECK(CheckIn.m_Sequence == 4);
+  for (const char *Field :
+       {"service", "address", "zone", "slots", "state", "dbRole", "seq"}) {
+    std::string Missing = Good;
+    Missing.replace(Missing.find(std::string("\"") + Field + "\"") + 1, 1, "X");
+    CAPTURE(Missing);
+    CHECK_THROWS_AS(decodeCheckIn("i-1", Missing), Error);
+  }
+  CHECK_THROWS_AS(decodeCheckIn("i 1", Good), Error);
+  CHECK_THROWS_AS(decodeCheckIn("i-1", "\xff\xfe"), Error);
+}
+
+TEST_CASE("documents: mutated and truncated documents are decoded or refused") {
+  std::mt19937 Random(11);
+  for (int Round = 0; Round < 3'000; ++Round) {
+    std::string Text = kConfiguration;
+    for (uint32_t Count = Random() % 5; Count > 0; --Count)
+      Text[Random() % Text.size()] = static_cast<char>(Random());
+    if (Random() % 3 == 0)
+      Text.resize(Random() % Text.size());
+    try {
+      decodeConfiguration(Text, kWindow);
+    } catch (const Error &) {
+      continue;
+    }
+  }
+}
+
+TEST_CASE("settings file: fields are decoded once, unknown ones are ignored") {
+  HostSettings Host = parseSettings(
+      "node=front-1\nip=10.1.0.26\nzone=z\r\nlisten.front=10.1.0.26:8465\n"
+      "listen.readiness=10.1.0.26:8460\nlisten.control=10.1.0.26:8462\n"
+      "internalPorts=7560,7575\nseeds=10.1.0.26:8462,10.2.0.23:8462\n"
+      "bootstrap=true\ndataDir=/data/x\ncloud.address=10.200.0.2:8466\n"
+      "bounds.graceS=6\nbounds.revokeMs=5000\nbounds.quotaWindowS=2.5\n"
+      "later.field=1\n\nnonsense\n");
+  CHECK(Host.m_Machine == "front-1");
+  CHECK(Host.m_IsFirstStart);
+  CHECK(Host.m_Seeds.size() == 2);
+  CHECK((Host.seedPeers()[1] == Endpoint{"10.2.0.23", 7'560}));
+  CHECK((Host.proxyPeer() == Endpoint{"10.1.0.26", 7'561}));
+  CHECK(Host.m_ShutdownGraceMs == 6'000);
+  CHECK(Host.m_RateWindowMs == 2'500);
+  CHECK_THROWS_AS(parseSettings("node=x\n"), Error);
+  CHECK_THROWS_AS(parseSettings("node=x\nip=1.2.3.4\nzone=z\n"
+                                "internalPorts=7560\n"),
+                  Error);
+  CHECK_THROWS_AS(parseSettings("node=x\nip=1.2.3.4\nzone=z\n"
+                                "internalPorts=1,2\nlisten.front=nowhere\n"),
+                  Error);
+}
--- /dev/null
+++ b/tests/platform/WireTest.cpp
@@ -0,0 +1,103 @@
+#include "platform/src/Wire.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace almondpier;
+using namespace almondpier::platform;
+
+TEST_CASE("wire: statements are decoded and forwarded with their text") {
+  CallerLine Line =
+      Wire::parseCallerLine("QUERY 5c0e WRITE 1a4 some data  with blanks ");
+  const Statement *Sent = std::get_if<Statement>(&Line);
+  REQUIRE(Sent != nullptr);
+  CHECK(Sent->m_Kind == StatementKind::Write);
+  CHECK(Sent->m_RequestId == "5c0e");
+  CHECK(Wire::formatStatement(*Sent, std::nullopt) ==
+        "QUERY 5c0e WRITE 1a4 some data  with blanks \r\n");
+  CHECK(Wire::formatStatement(*Sent, Position{3, 1'207}) ==
+        "QUERY 5c0e AFTER 3.1207 WRITE 1a4 some data  with blanks \r\n");
+}
+
+TEST_CASE("wire: prepared names are replaced and nothing else") {
+  CallerLine Line = Wire::parseCallerLine("QUERY 9f EXECUTE s1 1a4 xk pw");
+  Statement Sent = std::get<Statement>(Line);
+  CHECK(Sent.m_Name == "s1");
+  Sent.m_Name = "w_q2c";
+  Sent.m_Text.clear();
+  CHECK(Wire::formatStatement(Sent, std::nullopt) ==
+        "QUERY 9f EXECUTE w_q2c 1a4 xk pw\r\n");
+}
+
+TEST_CASE("wire: the proxy's own statements bear no request") {
+  Statement Own;
+  Own.m_Kind = StatementKind::Begin;
+  CHECK(Wire::formatStatement(Own, std::nullopt) == "QUERY - BEGIN\r\n");
+  // A caller cannot pass its statements off as the proxy's own.
+  CallerLine Line = Wire::parseCallerLine("QUERY - COMMIT");
+  CHECK(std::get<Statement>(Line).m_Kind == StatementKind::Invalid);
+}
+
+TEST_CASE("wire: lines that are no statement are told apart from statements") {
+  for (const char *Text :
+       {"QUERY", "QUERY ", "STARTUP", "STARTUP ", "", " ", "GET / HTTP/1.1"})
+    CHECK(std::holds_alternative<InvalidLine>(Wire::parseCallerLine(Text)));
+  for (const char *Text :
+       {"QUERY 1 BEGIN WRITE", "QUERY 1 READ", "QUERY 1 WRITE a",
+        "QUERY 1 PREPARE s", "QUERY 1 PREPARE s EXEC q", "QUERY 1 EXECUTE s",
+        "QUERY 1 AFTER 1.1 READ a", "QUERY 1 STATUS", "QUERY 1 DEALLOC",
+        "QUERY 1 PAUSE 4", "QUERY 1 RESET"}) {
+    CallerLine Line = Wire::parseCallerLine(Text);
+    REQUIRE(std::holds_alternative<Statement>(Line));
+    CHECK(std::get<Statement>(Line).m_Kind == StatementKind::Invalid);
+  }
+}
+
+TEST_CASE("wire: answers keep rows, receipts, errors and positions") {
+  StatementReply Reply;
+  Reply.m_Rows = {"a b", "c"};
+  Reply.m_Receipt = "7.1f3";
+  Reply.m_State = TransactionState::Open;
+  Reply.m_Position = Position{3, 9};
+  CHECK(Wire::formatReply(Reply) ==
+        "ROW a b\r\nROW c\r\nCOMPLETE 7.1f3\r\nREADY T 3.9\r\n");
+  StatementReply Failed;
+  Failed.m_Error = SessionError::OutcomeUnknown;
+  CHECK(Wire::formatReply(Failed).starts_with("ERROR INDOUBT "));
+  CHECK(Wire::formatReply(Failed).ends_with("\r\nREADY I -\r\n"));
+  CHECK(
+      std::get<ErrorLine>(Wire::parseInstanceLine("ERROR LAGGING x")).m_Error ==
+      SessionError::Lagging);
+  CHECK(std::get<ErrorLine>(Wire::parseInstanceLine("ERROR NEW x")).m_Error ==
+        SessionError::Other);
+  CHECK(std::get<ReadyLine>(Wire::parseInstanceLine("READY E 3.1209"))
+            .m_Position == Position{3, 1'209});
+  CHECK(!std::get<ReadyLine>(Wire::parseInstanceLine("READY I -")).m_Position);
+}
+
+TEST_CASE("wire: positions are read whole or not at all") {
+  for (const char *Text : {"", "-", "3", "3.", ".4", "3.4x", "x3.4", "3.4.5",
+                           "-3.4", "99999999999999999999.1"})
+    CHECK(!parsePosition(Text));
+  CHECK((parsePosition("3.4") == Position{3, 4}));
+}
+
+TEST_CASE("wire: mutated lines never break the parser") {
+  std::mt19937 Random(7);
+  const std::vector<std::string> Lines{
+      "STARTUP lepu270 u3f1",          "QUERY 5c0e BEGIN READ",
+      "QUERY 5c0e PREPARE s1 WRITE q", "QUERY 5c0e EXECUTE s1 1a4 xkq",
+      "ERROR READONLY i-7f3a91c2",     "READY T 3.1209",
+      "COMPLETE 7.1f3.c.2b",           "ROW replica 3 3.1209 0 12 2 17"};
+  for (int Round = 0; Round < 20'000; ++Round) {
+    std::string Line = Lines[Random() % Lines.size()];
+    for (uint32_t Count = Random() % 4; Count > 0 && !Line.empty(); --Count)
+      Line[Random() % Line.size()] = static_cast<char>(Random());
+    Line.resize(Random() % (Line.size() + 1));
+    CallerLine Caller = Wire::parseCallerLine(Line);
+    InstanceLine Instance = Wire::parseInstanceLine(Line);
+    if (const Statement *Sent = std::get_if<Statement>(&Caller))
+      CHECK(Wire::formatStatement(*Sent, std::nullopt).ends_with("\r\n"));
+  }
+}
