Record the instance directory in the replicated log

Change: the leader records the directory when it changes, at most once a second; a restarted cluster starts from it and drops what does not check in within 4 s.

--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -223,29 +223,6 @@
     Ar(m_Term, m_Version, m_Hosts);
   }
 };
-/// Whether new work may go to an instance.
-enum class InstanceState : uint8_t { Ready, Draining };
-
-/// What an instance says of itself in a check-in.
-struct InstanceDescription {
-  InstanceName m_Name;
-  DatabaseName m_Database;
-  AvailabilityZone m_Zone;
-  Endpoint m_Statements;
-  uint32_t m_Slots = 1;
-  InstanceState m_State = InstanceState::Ready;
-  bool m_IsPrimary = false;
-  /// Wall-clock start of the instance in milliseconds since 1970; a later start
-  /// under the same name is another boot. 0 when not stated.
-  uint64_t m_StartedAtMs = 0;
-
-  friend auto operator<=>(const InstanceDescription &,
-                          const InstanceDescription &) = default;
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(m_Name, m_Database, m_Zone, m_Statements, m_Slots, m_State, m_IsPrimary,
-       m_StartedAtMs);
-  }
-};
 /// A check-in of an instance, or its last word before it ends.
 struct InstanceCheckIn {
   InstanceDescription m_Instance;
--- a/include/almondpier/Model.h
+++ b/include/almondpier/Model.h
@@ -273,6 +273,29 @@
   }
 };
 
+/// Whether new work may go to an instance.
+enum class InstanceState : uint8_t { Ready, Draining };
+
+/// What an instance says of itself in a check-in.
+struct InstanceDescription {
+  InstanceName m_Name;
+  DatabaseName m_Database;
+  AvailabilityZone m_Zone;
+  Endpoint m_Statements;
+  uint32_t m_Slots = 1;
+  InstanceState m_State = InstanceState::Ready;
+  bool m_IsPrimary = false;
+  /// Wall-clock start of the instance in milliseconds since 1970; a later start
+  /// under the same name is another boot. 0 when not stated.
+  uint64_t m_StartedAtMs = 0;
+
+  friend auto operator<=>(const InstanceDescription &,
+                          const InstanceDescription &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Name, m_Database, m_Zone, m_Statements, m_Slots, m_State, m_IsPrimary,
+       m_StartedAtMs);
+  }
+};
 /// A database group in the replicated configuration.
 struct DatabaseRecord {
   uint32_t m_GroupSize = 0;
@@ -525,11 +548,22 @@
   }
 };
 
+/// The instance directory as the leader last knew it, so that a restarted
+/// cluster serves before every instance has checked in again.
+struct RecordDirectory {
+  std::vector<InstanceDescription> m_Instances;
+
+  friend auto operator<=>(const RecordDirectory &,
+                          const RecordDirectory &) = default;
+  template <typename Archive> void serialize(Archive &Ar) { Ar(m_Instances); }
+};
+
 using ChangeBody =
     std::variant<CreateOrganisation, RemoveOrganisation, IssueKey, RevokeKey,
                  DefinePreset, ActivatePreset, DrainInstance, RemoveInstance,
                  RemoveHost, RecordMembership, RegisterHost, RegisterInstance,
-                 BeginTerm, ElectPrimary, AdmitInstance, InstallPolicy>;
+                 BeginTerm, ElectPrimary, AdmitInstance, InstallPolicy,
+                 RecordDirectory>;
 
 /// Returns whether an operator (not the system) makes such a change.
 bool isOperatorChange(const ChangeBody &Body);
--- a/src/decision/control/ControlState.cpp
+++ b/src/decision/control/ControlState.cpp
@@ -17,6 +17,13 @@
   if (Entry.m_Data.empty())
     return std::nullopt;
   Change Received = decodeChange(Entry.m_Data);
+  if (RecordDirectory *Record =
+          std::get_if<RecordDirectory>(&Received.m_Body)) {
+    // Observed, not decided: neither audited nor sent to proxies as a change.
+    m_Directory = std::move(Record->m_Instances);
+    return Applied{ChangeOutcome{true, m_Configuration.version(), {}},
+                   std::nullopt};
+  }
   // Changes by the system bear no identifier; they are idempotent themselves.
   bool IsIdentified = !Received.m_ChangeId.empty();
   if (IsIdentified)
--- a/src/decision/control/ControlState.h
+++ b/src/decision/control/ControlState.h
@@ -27,6 +27,10 @@
   const Configuration &configuration() const { return m_Configuration; }
   const OutcomeTable &outcomes() const { return m_Outcomes; }
   const AuditTrail &audit() const { return m_Audit; }
+  /// The instance directory as a leader last recorded it.
+  const std::vector<InstanceDescription> &directory() const {
+    return m_Directory;
+  }
   /// The policy document in force as the operator sent it.
   const std::string &policySource() const { return m_PolicySource; }
 
@@ -37,7 +41,7 @@
   friend bool operator==(const ControlState &, const ControlState &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(m_AppliedIndex, m_AppliedTerm, m_Configuration, m_Outcomes, m_Audit,
-       m_PolicySource);
+       m_PolicySource, m_Directory);
   }
 
 private:
@@ -47,6 +51,7 @@
   OutcomeTable m_Outcomes;
   AuditTrail m_Audit;
   std::string m_PolicySource;
+  std::vector<InstanceDescription> m_Directory;
 };
 
 } // namespace almondpier
--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -7,6 +7,11 @@
 /// A leader without a predecessor's list takes its own for complete after two
 /// intervals of check-ins (1.2 s each).
 constexpr Duration kCompletionTime = std::chrono::milliseconds(2'600);
+/// An instance that a restarted cluster knows from the log only is dropped when
+/// it has not checked in for so long.
+constexpr Duration kRestoredMemory = std::chrono::seconds(4);
+/// Changes of the directory come in series when instances are replaced.
+constexpr Duration kRecordInterval = std::chrono::milliseconds(1'000);
 /// How long a boot that ended is remembered against its late check-ins.
 constexpr Duration kBootMemory = std::chrono::seconds(120);
 
@@ -117,6 +122,13 @@
   }
   m_IsChanged = true;
   bool IsInherited = m_Board.m_Directory.m_IsComplete && !m_Entries.empty();
+  if (!IsInherited) {
+    for (const InstanceDescription &Instance : m_Board.m_State.directory())
+      if (m_Entries.emplace(Instance.m_Name, Instance).second)
+        m_Board.m_CheckedInAt[Instance.m_Name] =
+            Context.m_Now - kForgetAfter + kRestoredMemory;
+    IsInherited = !m_Entries.empty();
+  }
   m_CompleteAfter =
       IsInherited ? Context.m_Now : Context.m_Now + kCompletionTime;
 }
@@ -131,7 +143,7 @@
     m_IsChanged = m_IsChanged || IsSilent;
     if (IsSilent)
       Context.reportStateChange("instance " + Entry.first.m_Value +
-                                " is dropped: no check-in for 20 s");
+                                " is dropped: it no longer checks in");
     return IsSilent;
   });
   std::erase_if(m_Boots, [&](const auto &Entry) {
@@ -139,6 +151,18 @@
            Context.m_Now - Entry.second.m_HeardAt > kBootMemory;
   });
   publish(Context);
+  record(Context);
+}
+
+void DirectoryController::record(ControlContext &Context) {
+  const InstanceDirectory &Published = m_Board.m_Directory;
+  if (!Published.m_IsComplete ||
+      Context.m_Now - m_RecordedAt < kRecordInterval ||
+      Published.m_Instances == m_Board.m_State.directory())
+    return;
+  m_RecordedAt = Context.m_Now;
+  Context.proposeBySystem(RecordDirectory{Published.m_Instances},
+                          m_Board.m_Self.m_Host.m_Value);
 }
 
 void DirectoryController::publish(ControlContext &Context) {
--- a/src/decision/control/DirectoryController.h
+++ b/src/decision/control/DirectoryController.h
@@ -8,7 +8,8 @@
 
 /// The leader keeps the directory in memory; check-ins repeat everything that
 /// a new leader does not know. Followers hold a copy, which a follower that
-/// becomes leader starts from.
+/// becomes leader starts from; after a restart of all, the list in the log
+/// stands in for it.
 class DirectoryController {
 public:
   /// An instance that has not checked in for so long is dropped; several times
@@ -43,6 +44,8 @@
   void dropOthersAt(const InstanceDescription &Instance);
   void beginTermIfNew(ControlContext &Context);
   void publish(ControlContext &Context);
+  /// Puts the published list into the log when it differs from the one there.
+  void record(ControlContext &Context);
 
   ControlBlackboard &m_Board;
   /// Entries by name; published when they change.
@@ -51,6 +54,7 @@
   uint64_t m_Term = 0;
   /// The entries differ from the published list.
   bool m_IsChanged = false;
+  Time m_RecordedAt;
   /// From then on every running instance has had the time to check in.
   Time m_CompleteAfter;
 };
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -193,6 +193,9 @@
     Database.m_Spares.erase(Spare);
   }
 
+  /// Kept beside the configuration.
+  void operator()(const RecordDirectory & /*Body*/) {}
+
   void operator()(const InstallPolicy &Body) {
     if (Body.m_Policy.m_Version <= m_Target.m_Policy.m_Version)
       return;
@@ -293,6 +296,7 @@
          !std::holds_alternative<ElectPrimary>(Body) &&
          !std::holds_alternative<AdmitInstance>(Body) &&
          !std::holds_alternative<InstallPolicy>(Body) &&
+         !std::holds_alternative<RecordDirectory>(Body) &&
          !std::holds_alternative<RecordMembership>(Body);
 }
 
@@ -357,6 +361,9 @@
   std::string operator()(const InstallPolicy &Body) const {
     return "install policy version " + std::to_string(Body.m_Policy.m_Version);
   }
+  std::string operator()(const RecordDirectory &Body) const {
+    return "record " + std::to_string(Body.m_Instances.size()) + " instances";
+  }
 };
 
 } // namespace
--- a/tests/control/PromotionTest.cpp
+++ b/tests/control/PromotionTest.cpp
@@ -226,3 +226,25 @@
   CHECK(!Test.entry("a")->m_IsPrimary);
   CHECK(Test.entry("c")->m_IsPrimary);
 }
+
+TEST_CASE("directory: a cluster that restarts as a whole knows its instances "
+          "before they check in") {
+  // Pattern: power loss of all hosts. Until every instance had checked in,
+  // statements found no primary.
+  Group Test;
+  Test.m_Sim.run(std::chrono::seconds(2));
+  REQUIRE(Test.m_Sim.board(Test.leader()).m_Directory.m_IsComplete);
+  REQUIRE(Test.m_Sim.board(Test.leader()).m_State.directory().size() == 3);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Test.m_Sim.stop(Index);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Test.m_Sim.start(Index);
+  REQUIRE(Test.m_Sim.runUntil([&] { return Test.m_Sim.leader().has_value(); }));
+  Test.m_Sim.run(milliseconds(50));
+  REQUIRE(Test.entry("a") != nullptr);
+  CHECK(Test.entry("a")->m_IsPrimary);
+  // What does not check in again is dropped soon.
+  Test.runWithoutPrimary(milliseconds(4'500));
+  CHECK(Test.entry("a") == nullptr);
+  CHECK(Test.entry("b") != nullptr);
+}
