--- a/include/almondpier/Net.h
+++ b/include/almondpier/Net.h
@@ -70,6 +70,19 @@
   std::unique_ptr<State> m_State;
 };
 
+/// Calls back for SIGHUP, which would otherwise end the process.
+class ReloadSignal {
+public:
+  ReloadSignal(EventLoop &Loop, std::function<void()> Callback);
+  ~ReloadSignal();
+  ReloadSignal(const ReloadSignal &) = delete;
+  ReloadSignal &operator=(const ReloadSignal &) = delete;
+
+private:
+  struct State;
+  std::unique_ptr<State> m_State;
+};
+
 // Links.
 
 /// Secret shared by all hosts of the system, 16 to 64 bytes.
--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -104,6 +104,7 @@
     std::unique_ptr<LineStream> m_Stream;
     Time m_ConnectedAt;
     bool m_HasOpened = false;
+    Time m_LastLineAt;
     /// Set once the stream is to be closed when everything is written.
     std::optional<Time> m_ClosingSince;
   };
--- a/include/almondpier/Telemetry.h
+++ b/include/almondpier/Telemetry.h
@@ -11,8 +11,8 @@
 
 enum class LogLevel : uint8_t { Info, Warning, Error };
 
-/// Sets up logging to standard error: one line a record, as
-/// time=... level=... program=... host=... message="...". Call once.
+/// Sets up logging to standard output, which never blocks: one line a record,
+/// as time=... level=... program=... host=... message="...". Call once.
 void initializeLogging(std::string_view Program, std::string_view Host);
 
 /// Writes one line about a change of state. Never pass keys or secrets.
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -164,4 +164,23 @@
 
 ShutdownSignal::~ShutdownSignal() = default;
 
+struct ReloadSignal::State {
+  std::function<void()> m_Callback;
+  EventHandle m_Event;
+};
+
+ReloadSignal::ReloadSignal(EventLoop &Loop, std::function<void()> Callback)
+    : m_State(std::make_unique<State>()) {
+  m_State->m_Callback = std::move(Callback);
+  m_State->m_Event.reset(evsignal_new(
+      Loop.base(), SIGHUP,
+      [](evutil_socket_t /*Signal*/, short /*Events*/, void *Context) {
+        static_cast<State *>(Context)->m_Callback();
+      },
+      m_State.get()));
+  event_add(m_State->m_Event.get(), nullptr);
+}
+
+ReloadSignal::~ReloadSignal() = default;
+
 } // namespace almondpier
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -57,8 +57,8 @@
          closeCaller(Id);
          dispatch(SessionEnded{Id});
        }});
-  m_Callers[Id.m_Value] =
-      Caller{std::move(Stream), m_Loop.now(), false, std::nullopt};
+  m_Callers[Id.m_Value] = Caller{std::move(Stream), m_Loop.now(), false,
+                                 m_Loop.now(), std::nullopt};
 }
 
 template <LineFormat Format>
@@ -74,6 +74,7 @@
     return dispatch(SessionOpened{Id, Open->m_Route, Open->m_Key});
   }
   Statement *Sent = std::get_if<Statement>(&Parsed);
+  Sender.m_LastLineAt = m_Loop.now();
   if (Sent != nullptr && Sender.m_HasOpened)
     return dispatch(SessionStatement{Id, std::move(*Sent)});
   if (!std::holds_alternative<EndLine>(Parsed))
@@ -148,8 +149,10 @@
 template <LineFormat Format>
 void SessionServer<Format>::execute(const AnswerStatement &Action) {
   auto Found = m_Callers.find(Action.m_Session.m_Value);
-  if (Found != m_Callers.end())
-    Found->second.m_Stream->write(Format::formatReply(Action.m_Reply));
+  if (Found == m_Callers.end())
+    return;
+  m_StatementLatency.record(m_Loop.now() - Found->second.m_LastLineAt);
+  Found->second.m_Stream->write(Format::formatReply(Action.m_Reply));
 }
 
 template <LineFormat Format>
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -1,8 +1,13 @@
 #include "almondpier/Telemetry.h"
 
-#include <iostream>
+#include <climits>
+#include <ostream>
+#include <streambuf>
 #include <utility>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
@@ -59,6 +64,42 @@
   return Result + "\"";
 }
 
+/// Writes whole lines to standard output and drops them while nobody reads it,
+/// so that a stuck reader of the log does not stop the host.
+class NonBlockingOutput : public std::streambuf {
+protected:
+  int overflow(int Character) override {
+    if (Character != traits_type::eof())
+      m_Line += static_cast<char>(Character);
+    return Character;
+  }
+  std::streamsize xsputn(const char *Bytes, std::streamsize Count) override {
+    m_Line.append(Bytes, static_cast<size_t>(Count));
+    return Count;
+  }
+  int sync() override {
+    // A pipe that is ready takes this many bytes without blocking.
+    m_Line = m_Line.size() > PIPE_BUF ? m_Line.substr(0, PIPE_BUF - 1) + "\n"
+                                      : std::move(m_Line);
+    pollfd Ready{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&Ready, 1, 0) == 1 && (Ready.revents & POLLOUT) != 0)
+      // A line that cannot be written has nowhere else to go.
+      static_cast<void>(::write(STDOUT_FILENO, m_Line.data(), m_Line.size()) <
+                        0);
+    m_Line.clear();
+    return 0;
+  }
+
+private:
+  std::string m_Line;
+};
+
+std::ostream &nonBlockingOutput() {
+  static NonBlockingOutput Buffer;
+  static std::ostream Stream(&Buffer);
+  return Stream;
+}
+
 Logger &logger() {
   static Logger Instance;
   return Instance;
@@ -70,8 +111,8 @@
   std::string Origin =
       " program=" + std::string(Program) + " host=" + std::string(Host);
   boost::shared_ptr<Backend> Target = boost::make_shared<Backend>();
-  Target->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
+  Target->add_stream(boost::shared_ptr<std::ostream>(&nonBlockingOutput(),
+                                                     [](std::ostream *) {}));
   Target->auto_flush(true);
   boost::shared_ptr<Sink> Output = boost::make_shared<Sink>(Target);
   Output->set_formatter([Origin](const boost::log::record_view &Record,
