Split the choice of an instance from the execution of statements

Change: InstanceChooser holds what a statement needs, the cost of an instance and the description of a wait.

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -29,15 +29,6 @@
 constexpr Duration kConnectLimit = milliseconds(400);
 constexpr Duration kTrimInterval = milliseconds(200);
 constexpr Duration kReportInterval = milliseconds(100);
-/// A connection that replaces another costs the instance about as much as a
-/// statement, and again when the other one is wanted; a first one pays off.
-constexpr double kReplacedConnectionMs = 14;
-constexpr double kFirstConnectionMs = 3;
-/// Expected time of a statement at an instance that was not used yet.
-constexpr double kUnknownLatencyMs = 20;
-/// Writes need the primary, so a read that a replica can serve prefers the
-/// replica unless it is this much busier.
-constexpr double kPrimaryReadCost = 2.5;
 
 bool isWrite(const Statement &Statement) {
   return Statement.m_Kind == StatementKind::Write ||
@@ -115,31 +106,12 @@
   }
 }
 
-StatementExecutor::Requirement
-StatementExecutor::requirementOf(const Session &Session) const {
-  const Task &Task = *Session.m_Task;
-  if (Task.m_Target != Target::Recent)
-    return Requirement{Task.m_Target, std::nullopt};
-  Time Began = Session.m_State == TransactionState::None
-                   ? Task.m_Received.m_ReceivedAt
-                   : Session.m_TransactionSince;
-  const PrimarySample *Sample = m_Views.sampleSince(
-      Session.m_Policy.m_Database,
-      Began - milliseconds(Session.m_Policy.m_MaxReadAgeMs));
-  // Without a recent position of the primary, only the primary itself shows
-  // what a read must observe; the read brings a new sample.
-  if (Sample == nullptr)
-    return Requirement{Target::ProvedPrimary, std::nullopt};
-  return Requirement{Target::Recent,
-                     std::max(Sample->m_Position, Session.m_LastCommit)};
-}
-
 bool StatementExecutor::dispatch(Session &Session, Time Now) {
   Task &Task = *Session.m_Task;
   if (Now < Task.m_NotBefore)
     return false;
-  Requirement Needed = requirementOf(Session);
-  const InstanceDescription *Instance = choose(Session, Needed, Now);
+  Requirement Needed = m_Chooser.requirementOf(Session);
+  const InstanceDescription *Instance = m_Chooser.choose(Session, Needed, Now);
   if (Instance == nullptr)
     return false;
   InstanceConnection *Connection =
@@ -153,83 +125,6 @@
   return true;
 }
 
-bool StatementExecutor::hasPlace(const Session &Session,
-                                 const InstanceDescription &Instance,
-                                 Time Now) {
-  const InstanceView &View = m_Views.viewOf(Instance.m_Name);
-  // One statement finds out whether an unreachable instance is back.
-  double Allowed = View.m_FailingSince ? 1 : View.m_Concurrency;
-  return Now >= View.m_AvoidUntil &&
-         static_cast<double>(m_Pool.busyAt(Instance.m_Name)) + 1 <= Allowed &&
-         m_Pool.availability(Instance.m_Name, Session.m_Organisation) !=
-             InstancePool::Availability::None;
-}
-
-std::string StatementExecutor::describeWait(const Session &Session, Time Now) {
-  Requirement Needed = requirementOf(Session);
-  const DatabaseName &Database = Session.m_Policy.m_Database;
-  const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
-  if (Needed.m_Target != Target::Recent && Primary == nullptr)
-    return "no primary is known";
-  std::string Result = "no instance was free in time:";
-  for (const InstanceDescription *Instance : m_Views.readyMembers(Database)) {
-    if (Needed.m_Target != Target::Recent && Instance != Primary)
-      continue;
-    const InstanceView &View = m_Views.viewOf(Instance->m_Name);
-    Result += " " + Instance->m_Name.m_Value + " runs " +
-              std::to_string(m_Pool.busyAt(Instance->m_Name)) + " of " +
-              std::to_string(static_cast<int>(View.m_Concurrency));
-    if (Now < View.m_AvoidUntil)
-      Result += " and is left alone";
-    if (Now < View.m_LaggingUntil)
-      Result += " and lags";
-    if (m_Pool.availability(Instance->m_Name, Session.m_Organisation) ==
-        InstancePool::Availability::None)
-      Result += " and has no connection left";
-  }
-  return Result;
-}
-
-const InstanceDescription *StatementExecutor::choose(const Session &Session,
-                                                     const Requirement &Needed,
-                                                     Time Now) {
-  const DatabaseName &Database = Session.m_Policy.m_Database;
-  const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
-  if (Needed.m_Target != Target::Recent) {
-    return Primary != nullptr && hasPlace(Session, *Primary, Now) ? Primary
-                                                                  : nullptr;
-  }
-  const InstanceDescription *Best = nullptr;
-  double BestCost = 0;
-  for (const InstanceDescription *Instance : m_Views.readyMembers(Database)) {
-    const InstanceView &View = m_Views.viewOf(Instance->m_Name);
-    bool IsPrimary = Instance == Primary;
-    if ((!IsPrimary && Now < View.m_LaggingUntil) ||
-        !hasPlace(Session, *Instance, Now))
-      continue;
-    InstancePool::Availability Place =
-        m_Pool.availability(Instance->m_Name, Session.m_Organisation);
-    double Latency =
-        View.m_LatencyMs == 0 ? kUnknownLatencyMs : View.m_LatencyMs;
-    double Cost =
-        Latency * static_cast<double>(m_Pool.busyAt(Instance->m_Name) + 1);
-    if (Place == InstancePool::Availability::Replace)
-      Cost += kReplacedConnectionMs;
-    if (Place == InstancePool::Availability::New)
-      Cost += kFirstConnectionMs;
-    if (IsPrimary)
-      Cost *= kPrimaryReadCost;
-    // Another instance is tried first after a failure.
-    if (Session.m_Task->m_Tried.contains(Instance->m_Name))
-      Cost += 1'000;
-    if (Best != nullptr && Cost >= BestCost)
-      continue;
-    Best = Instance;
-    BestCost = Cost;
-  }
-  return Best;
-}
-
 // Statements of one attempt.
 
 bool StatementExecutor::synchronise(Session &Session,
@@ -275,7 +170,7 @@
                                 InstanceConnection &Connection, Time Now) {
   if (!synchronise(Session, Connection, Now))
     return;
-  Requirement Needed = requirementOf(Session);
+  Requirement Needed = m_Chooser.requirementOf(Session);
   bool IsTransaction = Session.m_State != TransactionState::None;
   bool NeedsBegin = IsTransaction || Needed.m_Target == Target::ProvedPrimary;
   if (NeedsBegin && !Connection.m_InTransaction)
@@ -459,7 +354,7 @@
                                  Connection.m_SentAt, Now);
     if (Session.m_State != TransactionState::None)
       Session.m_Pinned = Connection.m_Id;
-    return sendMain(Session, Connection, requirementOf(Session), Now);
+    return sendMain(Session, Connection, m_Chooser.requirementOf(Session), Now);
   }
   InstanceName Instance = Connection.m_Instance;
   std::string Why = "refused to begin: " + std::string(nameOf(*Reply.m_Error));
@@ -618,9 +513,10 @@
   Task &Task = *Session.m_Task;
   StatementReply Reply;
   Reply.m_Error = Task.m_IsSent ? errorAfterLoss(Session) : SessionError::Busy;
-  Reply.m_ErrorText = Task.m_IsWaitingForInstance ? describeWait(Session, Now)
-                      : Task.m_IsSent             ? "no answer in time"
-                                                  : "no connection in time";
+  Reply.m_ErrorText = Task.m_IsWaitingForInstance
+                          ? m_Chooser.describeWait(Session, Now)
+                      : Task.m_IsSent ? "no answer in time"
+                                      : "no connection in time";
   Task.m_IsWaitingForInstance = false;
   std::optional<ConnectionId> Used = Task.m_Connection;
   Task.m_Connection.reset();
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -2,7 +2,7 @@
 /// Runs the statements of sessions at instances.
 #pragma once
 
-#include "decision/session/Session.h"
+#include "decision/session/InstanceChooser.h"
 
 #include <utility>
 
@@ -21,7 +21,7 @@
   StatementExecutor(ProxyBlackboard &Board, SessionTable &Sessions,
                     SessionActions &Actions)
       : m_Board(Board), m_Sessions(Sessions), m_Actions(Actions),
-        m_Views(Board), m_Pool(Board, Actions) {}
+        m_Views(Board), m_Pool(Board, Actions), m_Chooser(m_Views, m_Pool) {}
 
   /// Runs Session.m_Task, which is set.
   void submit(Session &Session, Time Now);
@@ -47,25 +47,11 @@
   CounterList counters() const;
 
 private:
-  /// What one attempt needs of the instance.
-  struct Requirement {
-    Target m_Target = Target::Primary;
-    std::optional<Position> m_NotBefore;
-  };
-
   void wait(Session &Session, Time Now);
-  /// Whether the instance takes another statement of this host now.
-  bool hasPlace(const Session &Session, const InstanceDescription &Instance,
-                Time Now);
-  /// What stands against each instance that could run the task, for the log.
-  std::string describeWait(const Session &Session, Time Now);
   /// Whether a failed attempt may be repeated without adding to an overload.
   bool spendRetry();
   /// Returns whether the task found a connection.
   bool dispatch(Session &Session, Time Now);
-  Requirement requirementOf(const Session &Session) const;
-  const InstanceDescription *choose(const Session &Session,
-                                    const Requirement &Needed, Time Now);
   /// Sends the next statement that brings the task forward.
   void advance(Session &Session, InstanceConnection &Connection, Time Now);
   bool synchronise(Session &Session, InstanceConnection &Connection, Time Now);
@@ -98,6 +84,7 @@
   SessionActions &m_Actions;
   GroupViews m_Views;
   InstancePool m_Pool;
+  InstanceChooser m_Chooser;
   /// Sessions whose task waits for a connection, in order of arrival.
   std::deque<SessionId> m_Waiting;
   std::vector<Finished> m_Finished;
