Share listeners, proposals and proxy options instead of repeating them

Change: one function each for listening, for appending a change, for the options of a proxy and for whether a statement writes.

--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -146,8 +146,6 @@
   /// Actions of the other kinds of proxy.
   template <typename Other> void execute(const Other & /*Action*/) {}
 
-  static ProxyOptions optionsOf(const SessionServerSettings &Settings);
-
   EventLoop &m_Loop;
   SessionServerSettings m_Settings;
   SessionCore m_Core;
--- a/src/decision/control/ChangeController.cpp
+++ b/src/decision/control/ChangeController.cpp
@@ -48,17 +48,7 @@
   if (std::optional<ChangeOutcome> First =
           Context.m_Board.m_State.outcomes().find(Event.m_Change))
     return reply(Event.m_Id, *First, Context);
-  std::string Data = encode(Event.m_Change);
-  if (Data.size() > kMaxChangeBytes)
-    return reply(
-        Event.m_Id,
-        refusal(ErrorKind::BodyTooLarge, "a change has at most 512 KiB"),
-        Context);
-  std::optional<uint64_t> Index =
-      Context.m_Log.propose(std::move(Data), Context.m_Now);
-  if (!Index)
-    return Context.refuseAsFollower(Event.m_Id);
-  wait(Event.m_Id, *Index, Context);
+  propose(Event.m_Id, Event.m_Change, Context);
 }
 
 void ChangeController::submitPolicy(const PolicySubmitted &Event,
@@ -74,17 +64,21 @@
   Change Proposed;
   Proposed.m_WallTimeMs = Context.m_Board.m_WallTimeMs;
   Proposed.m_Body = Event.m_Install;
+  propose(Event.m_Id, Proposed, Context);
+}
+
+void ChangeController::propose(OperationId Id, const Change &Proposed,
+                               ControlContext &Context) {
   std::string Data = encode(Proposed);
   if (Data.size() > kMaxChangeBytes)
     return reply(
-        Event.m_Id,
-        refusal(ErrorKind::BodyTooLarge, "a change has at most 512 KiB"),
+        Id, refusal(ErrorKind::BodyTooLarge, "a change has at most 512 KiB"),
         Context);
   std::optional<uint64_t> Index =
       Context.m_Log.propose(std::move(Data), Context.m_Now);
   if (!Index)
-    return Context.refuseAsFollower(Event.m_Id);
-  wait(Event.m_Id, *Index, Context);
+    return Context.refuseAsFollower(Id);
+  wait(Id, *Index, Context);
 }
 
 void ChangeController::submitMembership(OperationId Id,
--- a/src/decision/control/ChangeController.h
+++ b/src/decision/control/ChangeController.h
@@ -25,6 +25,8 @@
   bool isIdle() const { return m_Waiting.empty(); }
 
 private:
+  /// Appends a change of this leader and waits for its outcome.
+  void propose(OperationId Id, const Change &Proposed, ControlContext &Context);
   struct Waiting {
     OperationId m_Id;
     uint64_t m_Term = 0;
--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -146,6 +146,9 @@
                                 " is dropped: it no longer checks in");
     return IsSilent;
   });
+  std::erase_if(m_Board.m_CheckedInAt, [&](const auto &Entry) {
+    return !m_Entries.contains(Entry.first);
+  });
   std::erase_if(m_Boots, [&](const auto &Entry) {
     return !m_Entries.contains(Entry.first) &&
            Context.m_Now - Entry.second.m_HeardAt > kBootMemory;
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -26,11 +26,6 @@
       static_cast<int64_t>(static_cast<double>(Whole.count()) * Share));
 }
 
-bool isWrite(const Statement &Statement) {
-  return Statement.m_Kind == StatementKind::Write ||
-         (Statement.m_Kind == StatementKind::Execute && Statement.m_IsWrite);
-}
-
 CallerRequestId tokenRequestOf(const Session &Session) {
   return CallerRequestId{Session.m_Id.m_Value};
 }
@@ -278,15 +273,14 @@
 
 Target SessionController::targetOf(const Session &Session,
                                    const Statement &Statement) const {
-  bool IsPrimaryRoute = Session.m_Policy.m_Guarantee == ReadGuarantee::Primary;
-  if (Session.m_State != TransactionState::None) {
-    if (!Session.m_IsReadOnly)
-      return Target::Primary;
-    return IsPrimaryRoute ? Target::ProvedPrimary : Target::Recent;
-  }
-  if (isWrite(Statement))
+  bool MayWrite = Session.m_State == TransactionState::None
+                      ? isWrite(Statement)
+                      : !Session.m_IsReadOnly;
+  if (MayWrite)
     return Target::Primary;
-  return IsPrimaryRoute ? Target::ProvedPrimary : Target::Recent;
+  return Session.m_Policy.m_Guarantee == ReadGuarantee::Primary
+             ? Target::ProvedPrimary
+             : Target::Recent;
 }
 
 void SessionController::startSetValue(Session &Session,
--- a/src/decision/session/SessionEvents.cpp
+++ b/src/decision/session/SessionEvents.cpp
@@ -38,6 +38,11 @@
   return "other error";
 }
 
+bool isWrite(const Statement &Statement) {
+  return Statement.m_Kind == StatementKind::Write ||
+         (Statement.m_Kind == StatementKind::Execute && Statement.m_IsWrite);
+}
+
 bool saysNotRun(SessionError Error) {
   return Error == SessionError::Busy || Error == SessionError::Aborted ||
          Error == SessionError::Lagging || Error == SessionError::ReadOnly ||
--- a/src/decision/session/SessionEvents.h
+++ b/src/decision/session/SessionEvents.h
@@ -48,6 +48,10 @@
   friend bool operator==(const Statement &, const Statement &) = default;
 };
 
+/// Whether the statement may write; m_IsWrite of an Execute says what was
+/// prepared.
+bool isWrite(const Statement &Statement);
+
 /// Transaction state of a session or connection.
 enum class TransactionState : uint8_t { None, Open, Failed };
 
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -30,11 +30,6 @@
 constexpr Duration kTrimInterval = milliseconds(200);
 constexpr Duration kReportInterval = milliseconds(100);
 
-bool isWrite(const Statement &Statement) {
-  return Statement.m_Kind == StatementKind::Write ||
-         (Statement.m_Kind == StatementKind::Execute && Statement.m_IsWrite);
-}
-
 bool isEnd(const Statement &Statement) {
   return Statement.m_Kind == StatementKind::Commit ||
          Statement.m_Kind == StatementKind::Rollback;
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -1,7 +1,9 @@
 #include "net/LibeventHandles.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <cstring>
 #include <ctime>
 
 #include <arpa/inet.h>
@@ -54,6 +56,21 @@
              sizeof(TimeoutMs));
 }
 
+ListenerHandle listenOn(EventLoop &Loop, const Endpoint &Local,
+                        evconnlistener_cb OnAccept, void *Context) {
+  constexpr int kBacklog = 1'024;
+  sockaddr_in Address = toSocketAddress(Local);
+  ListenerHandle Listener(evconnlistener_new_bind(
+      Loop.base(), OnAccept, Context, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      kBacklog, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
+  if (!Listener)
+    throw Error(ErrorKind::BadRequest,
+                "cannot listen on " + formatEndpoint(Local) + " (" +
+                    std::strerror(errno) +
+                    "); choose a free port of this host");
+  return Listener;
+}
+
 uint64_t randomNumber() {
   uint64_t Value = 0;
   randombytes_buf(&Value, sizeof(Value));
--- a/src/net/LibeventHandles.h
+++ b/src/net/LibeventHandles.h
@@ -39,6 +39,10 @@
 /// Ends a connection whose peer acknowledges nothing for so long, also while it
 /// is idle; a partition gives no other sign.
 void detectSilence(evutil_socket_t Socket, uint32_t TimeoutMs);
+/// Listens on Local; OnAccept gets each new socket with Context. Throws Error
+/// when the endpoint cannot be bound.
+ListenerHandle listenOn(EventLoop &Loop, const Endpoint &Local,
+                        evconnlistener_cb OnAccept, void *Context);
 uint64_t randomNumber();
 
 } // namespace almondpier
--- a/src/net/LineStream.cpp
+++ b/src/net/LineStream.cpp
@@ -162,20 +162,12 @@
     EventLoop &Loop, const Endpoint &Local, const LineStream::Limits &Limits,
     std::function<void(std::unique_ptr<LineStream>)> OnAccept)
     : m_State(new State{Loop, Limits, std::move(OnAccept), nullptr}) {
-  constexpr int kBacklog = 1'024;
-  sockaddr_in Address = toSocketAddress(Local);
-  m_State->m_Listener.reset(evconnlistener_new_bind(
-      Loop.base(),
+  m_State->m_Listener = listenOn(
+      Loop, Local,
       [](evconnlistener * /*Listener*/, evutil_socket_t Socket,
          sockaddr * /*Peer*/, int /*Length*/,
          void *Context) { static_cast<State *>(Context)->accept(Socket); },
-      m_State.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
-      reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
-  if (!m_State->m_Listener)
-    throw Error(ErrorKind::BadRequest,
-                "cannot listen on " + formatEndpoint(Local) + " (" +
-                    std::strerror(errno) +
-                    "); choose a free port of this host");
+      m_State.get());
 }
 
 LineListener::~LineListener() = default;
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -4,6 +4,7 @@
 #include "proxy/CallerFrontend.h"
 #include "proxy/InstanceConnections.h"
 #include "proxy/ProxyLinks.h"
+#include "proxy/ProxyStart.h"
 #include "proxy/StatusProber.h"
 
 #include <random>
@@ -14,16 +15,18 @@
 // Lets the last responses and returned tokens reach the network.
 static constexpr std::chrono::milliseconds kFlushTime{200};
 
-static ProxyOptions optionsOf(const ProxySettings &Settings) {
+ProxyOptions proxyOptions(const HostRecord &Host,
+                          const std::string &FleetSecret,
+                          const std::vector<Endpoint> &Control) {
   ProxyOptions Options;
-  Options.m_Host = Settings.m_Host;
+  Options.m_Host = Host;
   // Rises with each start as long as the wall clock does not go back.
   Options.m_Incarnation = static_cast<uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::system_clock::now().time_since_epoch())
           .count());
-  Options.m_FleetSecret = Settings.m_FleetSecret;
-  Options.m_ControlPeers = Settings.m_Control;
+  Options.m_FleetSecret = FleetSecret;
+  Options.m_ControlPeers = Control;
   Options.m_Seed = std::random_device()();
   return Options;
 }
@@ -40,7 +43,10 @@
   std::unique_ptr<Delay> m_End;
 
   State(EventLoop &Loop, const ProxySettings &Settings)
-      : m_Loop(Loop), m_Core(optionsOf(Settings), Loop.now()),
+      : m_Loop(Loop),
+        m_Core(proxyOptions(Settings.m_Host, Settings.m_FleetSecret,
+                            Settings.m_Control),
+               Loop.now()),
         m_Events(Loop, m_Core), m_Instances(Loop, m_Events),
         m_Prober(Loop, m_Events),
         m_Links(
--- /dev/null
+++ b/src/proxy/ProxyStart.h
@@ -0,0 +1,14 @@
+/// \file
+/// What every proxy core starts with.
+#pragma once
+
+#include "decision/proxy/ProxyCore.h"
+
+namespace almondpier {
+
+/// Options with a new incarnation and seed for a process that starts now.
+ProxyOptions proxyOptions(const HostRecord &Host,
+                          const std::string &FleetSecret,
+                          const std::vector<Endpoint> &Control);
+
+} // namespace almondpier
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -3,34 +3,20 @@
 #pragma once
 
 #include "decision/Invariant.h"
+#include "proxy/ProxyStart.h"
 
 #include <cstdlib>
-#include <random>
 #include <utility>
 
 namespace almondpier {
 
-template <LineFormat Format>
-ProxyOptions
-SessionServer<Format>::optionsOf(const SessionServerSettings &Settings) {
-  ProxyOptions Options;
-  Options.m_Host = Settings.m_Host;
-  // Rises with each start as long as the wall clock does not go back.
-  Options.m_Incarnation = static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-  Options.m_FleetSecret = Settings.m_FleetSecret;
-  Options.m_ControlPeers = Settings.m_Control;
-  Options.m_Seed = std::random_device()();
-  return Options;
-}
-
 template <LineFormat Format>
 SessionServer<Format>::SessionServer(EventLoop &Loop,
                                      const SessionServerSettings &Settings)
     : m_Loop(Loop), m_Settings(Settings),
-      m_Core(optionsOf(Settings), Settings.m_Limits, Loop.now()),
+      m_Core(proxyOptions(Settings.m_Host, Settings.m_FleetSecret,
+                          Settings.m_Control),
+             Settings.m_Limits, Loop.now()),
       m_Links(
           Loop, FleetSecret{Settings.m_FleetSecret}, Settings.m_Host.m_Forward,
           [this](ProxyEvent Event) { dispatchLinkEvent(std::move(Event)); }),
