--- a/tests/session/LoadTest.cpp
+++ b/tests/session/LoadTest.cpp
@@ -19,6 +19,7 @@
   size_t Served = 0;
   size_t Sent = 0;
   std::vector<SessionId> Sessions;
+  Sessions.reserve(40);
   for (int Count = 0; Count < 40; ++Count)
     Sessions.push_back(Host.open("aged"));
   Time Start = Host.m_Now;
@@ -43,6 +44,7 @@
   for (size_t Index = 0; Index < 3; ++Index)
     Host.member(Index).m_Refusal = SessionError::Busy;
   std::vector<SessionId> Sessions;
+  Sessions.reserve(50);
   for (int Count = 0; Count < 50; ++Count)
     Sessions.push_back(Host.open("main"));
   size_t Sent = 0;
