--- a/src/decision/session/InstanceChooser.cpp
+++ b/src/decision/session/InstanceChooser.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-Requirement InstanceChooser::requirementOf(const Session &Session) const {
+Requirement InstanceChooser::requirementOf(const CallerSession &Session) const {
   const Task &Task = *Session.m_Task;
   if (Task.m_Target != Target::Recent)
     return Requirement{Task.m_Target, std::nullopt};
@@ -39,7 +39,7 @@
                      std::max(Sample->m_Position, Session.m_LastCommit)};
 }
 
-bool InstanceChooser::hasPlace(const Session &Session,
+bool InstanceChooser::hasPlace(const CallerSession &Session,
                                const InstanceDescription &Instance, Time Now) {
   const InstanceView &View = m_Views.viewOf(Instance.m_Name);
   // One statement finds out whether an unreachable instance is back.
@@ -50,7 +50,8 @@
              InstancePool::Availability::None;
 }
 
-std::string InstanceChooser::describeWait(const Session &Session, Time Now) {
+std::string InstanceChooser::describeWait(const CallerSession &Session,
+                                          Time Now) {
   Requirement Needed = requirementOf(Session);
   const DatabaseName &Database = Session.m_Policy.m_Database;
   const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
@@ -75,7 +76,7 @@
   return Result;
 }
 
-const InstanceDescription *InstanceChooser::choose(const Session &Session,
+const InstanceDescription *InstanceChooser::choose(const CallerSession &Session,
                                                    const Requirement &Needed,
                                                    Time Now) {
   const DatabaseName &Database = Session.m_Policy.m_Database;
--- a/src/decision/session/InstanceChooser.h
+++ b/src/decision/session/InstanceChooser.h
@@ -18,18 +18,18 @@
   InstanceChooser(GroupViews &Views, const InstancePool &Pool)
       : m_Views(Views), m_Pool(Pool) {}
 
-  Requirement requirementOf(const Session &Session) const;
+  Requirement requirementOf(const CallerSession &Session) const;
   /// Returns the instance with the lowest expected cost that takes another
   /// statement now, or null.
-  const InstanceDescription *choose(const Session &Session,
+  const InstanceDescription *choose(const CallerSession &Session,
                                     const Requirement &Needed, Time Now);
   /// What stands against each instance that could run the task, for the log.
-  std::string describeWait(const Session &Session, Time Now);
+  std::string describeWait(const CallerSession &Session, Time Now);
 
 private:
   /// Whether the instance takes another statement of this host now.
-  bool hasPlace(const Session &Session, const InstanceDescription &Instance,
-                Time Now);
+  bool hasPlace(const CallerSession &Session,
+                const InstanceDescription &Instance, Time Now);
 
   GroupViews &m_Views;
   const InstancePool &m_Pool;
--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -51,7 +51,7 @@
   std::string m_LastFailure;
 };
 
-struct Session {
+struct CallerSession {
   SessionId m_Id;
   RouteName m_Route;
   std::optional<KeyDigest> m_Key;
@@ -83,6 +83,6 @@
   Position m_LastCommit;
 };
 
-using SessionTable = std::unordered_map<uint64_t, Session>;
+using SessionTable = std::unordered_map<uint64_t, CallerSession>;
 
 } // namespace almondpier
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -26,12 +26,12 @@
       static_cast<int64_t>(static_cast<double>(Whole.count()) * Share));
 }
 
-CallerRequestId tokenRequestOf(const Session &Session) {
+CallerRequestId tokenRequestOf(const CallerSession &Session) {
   return CallerRequestId{Session.m_Id.m_Value};
 }
 
 /// A caller above its rate learns it early enough to come back in time.
-Duration patienceOf(const Session &Session) {
+Duration patienceOf(const CallerSession &Session) {
   constexpr uint32_t kShareOfTarget = 5;
   return Session.m_Policy.m_TargetLatencyMs == 0
              ? kTokenWait
@@ -58,7 +58,7 @@
 // Opening and ending.
 
 void SessionController::open(const SessionOpened &Event, Time Now) {
-  Session Opened;
+  CallerSession Opened;
   Opened.m_Id = Event.m_Session;
   Opened.m_Route = Event.m_Route;
   Opened.m_Key = Event.m_Key;
@@ -85,8 +85,8 @@
   act(AcceptSession{Event.m_Session});
 }
 
-std::optional<SessionError> SessionController::refusalOf(const Session &Session,
-                                                         Time Now) const {
+std::optional<SessionError>
+SessionController::refusalOf(const CallerSession &Session, Time Now) const {
   if (!isFresh(Now))
     return SessionError::Busy;
   const Configuration &InForce = m_Board.m_Configuration;
@@ -106,7 +106,7 @@
   return std::nullopt;
 }
 
-std::optional<SessionError> SessionController::admit(Session &Session,
+std::optional<SessionError> SessionController::admit(CallerSession &Session,
                                                      Time Now) {
   if (std::optional<SessionError> Refusal = refusalOf(Session, Now))
     return Refusal;
@@ -124,7 +124,7 @@
   auto Found = m_Sessions.find(Id.m_Value);
   if (Found == m_Sessions.end())
     return;
-  Session &Session = Found->second;
+  CallerSession &Session = Found->second;
   if (Session.m_Task && Session.m_Task->m_IsWaitingForToken)
     m_Tokens.stopWaiting(Session.m_Organisation, tokenRequestOf(Session));
   // A statement in flight ends by itself: its connection is rolled back or
@@ -140,7 +140,7 @@
   auto Found = m_Sessions.find(Event.m_Session.m_Value);
   if (Found == m_Sessions.end())
     return;
-  Session &Session = Found->second;
+  CallerSession &Session = Found->second;
   Session.m_LastActive = Now;
   if (Session.m_Queue.size() >= kMaxQueuedStatements) {
     act(CloseSession{Session.m_Id});
@@ -150,7 +150,7 @@
   startNext(Session, Now);
 }
 
-void SessionController::startNext(Session &Session, Time Now) {
+void SessionController::startNext(CallerSession &Session, Time Now) {
   while (!Session.m_Task && !Session.m_Queue.empty()) {
     ReceivedStatement Next = std::move(Session.m_Queue.front());
     Session.m_Queue.pop_front();
@@ -158,8 +158,8 @@
   }
 }
 
-void SessionController::start(Session &Session, ReceivedStatement Received,
-                              Time Now) {
+void SessionController::start(CallerSession &Session,
+                              ReceivedStatement Received, Time Now) {
   Session.m_LastRequestId = Received.m_Statement.m_RequestId;
   if (Session.m_State == TransactionState::Failed)
     return startInFailedTransaction(Session, Received, Now);
@@ -188,7 +188,7 @@
 }
 
 void SessionController::startInFailedTransaction(
-    Session &Session, const ReceivedStatement &Received, Time Now) {
+    CallerSession &Session, const ReceivedStatement &Received, Time Now) {
   StatementKind Kind = Received.m_Statement.m_Kind;
   if (Kind != StatementKind::Commit && Kind != StatementKind::Rollback)
     return answerError(Session, SessionError::Malformed,
@@ -201,7 +201,7 @@
               "the transaction had failed and was rolled back", Now);
 }
 
-void SessionController::startBegin(Session &Session,
+void SessionController::startBegin(CallerSession &Session,
                                    const ReceivedStatement &Received,
                                    Time Now) {
   if (Session.m_State != TransactionState::None)
@@ -215,7 +215,7 @@
   waitForToken(Session, Now);
 }
 
-void SessionController::startEnd(Session &Session,
+void SessionController::startEnd(CallerSession &Session,
                                  const ReceivedStatement &Received, Time Now) {
   bool IsCommit = Received.m_Statement.m_Kind == StatementKind::Commit;
   if (Session.m_State == TransactionState::None)
@@ -230,8 +230,8 @@
   startData(Session, Received, Now);
 }
 
-void SessionController::startData(Session &Session, ReceivedStatement Received,
-                                  Time Now) {
+void SessionController::startData(CallerSession &Session,
+                                  ReceivedStatement Received, Time Now) {
   Statement &Main = Received.m_Statement;
   if (Main.m_Kind == StatementKind::Execute) {
     auto Prepared = Session.m_Prepared.find(Main.m_Name);
@@ -262,8 +262,8 @@
   waitForToken(Session, Now);
 }
 
-void SessionController::setTask(Session &Session, ReceivedStatement Received,
-                                Time Now) {
+void SessionController::setTask(CallerSession &Session,
+                                ReceivedStatement Received, Time Now) {
   Task Started;
   Started.m_Deadline = std::max(Received.m_ReceivedAt, Now) +
                        milliseconds(Session.m_Policy.m_StatementTimeoutMs);
@@ -271,7 +271,7 @@
   Session.m_Task = std::move(Started);
 }
 
-Target SessionController::targetOf(const Session &Session,
+Target SessionController::targetOf(const CallerSession &Session,
                                    const Statement &Statement) const {
   bool MayWrite = Session.m_State == TransactionState::None
                       ? isWrite(Statement)
@@ -283,7 +283,7 @@
              : Target::Recent;
 }
 
-void SessionController::startSetValue(Session &Session,
+void SessionController::startSetValue(CallerSession &Session,
                                       const ReceivedStatement &Received,
                                       Time Now) {
   const Statement &Set = Received.m_Statement;
@@ -296,7 +296,7 @@
   answerLocally(Session, Now);
 }
 
-void SessionController::startPrepare(Session &Session,
+void SessionController::startPrepare(CallerSession &Session,
                                      const Statement &Received, Time Now) {
   if (Session.m_Prepared.size() >= kMaxSessionNames &&
       !Session.m_Prepared.contains(Received.m_Name))
@@ -307,7 +307,7 @@
   answerLocally(Session, Now);
 }
 
-void SessionController::startDeallocate(Session &Session,
+void SessionController::startDeallocate(CallerSession &Session,
                                         const Statement &Received, Time Now) {
   if (Session.m_Prepared.erase(Received.m_Name) == 0)
     return answerError(Session, SessionError::UnknownStatement, Received.m_Name,
@@ -317,7 +317,7 @@
 
 // Admission.
 
-void SessionController::waitForToken(Session &Session, Time Now) {
+void SessionController::waitForToken(CallerSession &Session, Time Now) {
   bool IsLimited =
       m_Board.m_Configuration.organisations().contains(Session.m_Organisation);
   if (!IsLimited || m_Tokens.take(Session.m_Organisation, Now))
@@ -327,7 +327,7 @@
                 Session.m_Task->m_Deadline, Now, patienceOf(Session));
 }
 
-void SessionController::onAdmitted(Session &Session, Time Now) {
+void SessionController::onAdmitted(CallerSession &Session, Time Now) {
   Session.m_Task->m_IsWaitingForToken = false;
   const Statement &Admitted = Session.m_Task->m_Received.m_Statement;
   bool IsBegin = Admitted.m_Kind == StatementKind::Begin ||
@@ -360,7 +360,7 @@
     auto Found = m_Sessions.find(Id.m_Value);
     if (Found == m_Sessions.end() || !Found->second.m_Task)
       continue;
-    Session &Session = Found->second;
+    CallerSession &Session = Found->second;
     if (!m_Tokens.takeForWaiter(Session.m_Organisation, Now)) {
       m_Tokens.wait(Session.m_Organisation, Id, Session.m_Task->m_Deadline, Now,
                     patienceOf(Session));
@@ -379,13 +379,13 @@
 
 // Answers.
 
-void SessionController::answerLocally(Session &Session, Time Now) {
+void SessionController::answerLocally(CallerSession &Session, Time Now) {
   StatementReply Reply;
   Reply.m_State = Session.m_State;
   answer(Session, std::move(Reply), Now);
 }
 
-void SessionController::answerError(Session &Session, SessionError Error,
+void SessionController::answerError(CallerSession &Session, SessionError Error,
                                     const std::string &Text, Time Now) {
   StatementReply Reply;
   Reply.m_Error = Error;
@@ -403,7 +403,7 @@
   answer(Session, std::move(Reply), Now);
 }
 
-void SessionController::answer(Session &Session, StatementReply Reply,
+void SessionController::answer(CallerSession &Session, StatementReply Reply,
                                Time Now) {
   ++m_Answered;
   m_Failed += Reply.m_Error ? 1 : 0;
@@ -411,7 +411,7 @@
   act(AnswerStatement{Session.m_Id, std::move(Reply)});
 }
 
-void SessionController::logOutcome(const Session &Session,
+void SessionController::logOutcome(const CallerSession &Session,
                                    const StatementReply &Reply, Time Now) {
   const Task &Task = *Session.m_Task;
   bool IsFailure = Reply.m_Error.has_value();
@@ -441,7 +441,7 @@
   auto Found = m_Sessions.find(Finished.m_Session.m_Value);
   if (Found == m_Sessions.end() || !Found->second.m_Task)
     return;
-  Session &Session = Found->second;
+  CallerSession &Session = Found->second;
   StatementReply Reply = Finished.m_Reply;
   logOutcome(Session, Reply, Now);
   StatementKind Kind = Session.m_Task->m_Received.m_Statement.m_Kind;
@@ -461,14 +461,14 @@
   startNext(Session, Now);
 }
 
-void SessionController::abortTransaction(Session &Session, Time Now) {
+void SessionController::abortTransaction(CallerSession &Session, Time Now) {
   if (Session.m_State == TransactionState::None)
     return;
   m_Executor.rollBack(Session, Now);
   Session.m_State = TransactionState::Failed;
 }
 
-void SessionController::endTransaction(Session &Session) {
+void SessionController::endTransaction(CallerSession &Session) {
   Session.m_State = TransactionState::None;
   Session.m_IsReadOnly = false;
   Session.m_HasWritten = false;
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -54,37 +54,42 @@
   template <typename Action> void act(Action Taken) {
     m_Actions.emplace_back(std::in_place_type<Action>, std::move(Taken));
   }
-  void startNext(Session &Session, Time Now);
+  void startNext(CallerSession &Session, Time Now);
   /// Each answers the statement or sets the task.
-  void start(Session &Session, ReceivedStatement Received, Time Now);
-  void startInFailedTransaction(Session &Session,
+  void start(CallerSession &Session, ReceivedStatement Received, Time Now);
+  void startInFailedTransaction(CallerSession &Session,
                                 const ReceivedStatement &Received, Time Now);
-  void startBegin(Session &Session, const ReceivedStatement &Received,
+  void startBegin(CallerSession &Session, const ReceivedStatement &Received,
                   Time Now);
-  void startEnd(Session &Session, const ReceivedStatement &Received, Time Now);
-  void startData(Session &Session, ReceivedStatement Received, Time Now);
-  void startSetValue(Session &Session, const ReceivedStatement &Received,
+  void startEnd(CallerSession &Session, const ReceivedStatement &Received,
+                Time Now);
+  void startData(CallerSession &Session, ReceivedStatement Received, Time Now);
+  void startSetValue(CallerSession &Session, const ReceivedStatement &Received,
                      Time Now);
-  void startPrepare(Session &Session, const Statement &Received, Time Now);
-  void startDeallocate(Session &Session, const Statement &Received, Time Now);
-  void setTask(Session &Session, ReceivedStatement Received, Time Now);
-  void waitForToken(Session &Session, Time Now);
+  void startPrepare(CallerSession &Session, const Statement &Received,
+                    Time Now);
+  void startDeallocate(CallerSession &Session, const Statement &Received,
+                       Time Now);
+  void setTask(CallerSession &Session, ReceivedStatement Received, Time Now);
+  void waitForToken(CallerSession &Session, Time Now);
   /// The token has come, or none is needed.
-  void onAdmitted(Session &Session, Time Now);
+  void onAdmitted(CallerSession &Session, Time Now);
   /// Why an operation may not run now.
-  std::optional<SessionError> refusalOf(const Session &Session, Time Now) const;
+  std::optional<SessionError> refusalOf(const CallerSession &Session,
+                                        Time Now) const;
   /// Checks the key and reads the policy of the route for a new operation.
-  std::optional<SessionError> admit(Session &Session, Time Now);
-  Target targetOf(const Session &Session, const Statement &Statement) const;
+  std::optional<SessionError> admit(CallerSession &Session, Time Now);
+  Target targetOf(const CallerSession &Session,
+                  const Statement &Statement) const;
 
-  void answerLocally(Session &Session, Time Now);
-  void answerError(Session &Session, SessionError Error,
+  void answerLocally(CallerSession &Session, Time Now);
+  void answerError(CallerSession &Session, SessionError Error,
                    const std::string &Text, Time Now);
-  void answer(Session &Session, StatementReply Reply, Time Now);
+  void answer(CallerSession &Session, StatementReply Reply, Time Now);
   void onFinished(const StatementExecutor::Finished &Finished, Time Now);
-  void abortTransaction(Session &Session, Time Now);
-  void endTransaction(Session &Session);
-  void logOutcome(const Session &Session, const StatementReply &Reply,
+  void abortTransaction(CallerSession &Session, Time Now);
+  void endTransaction(CallerSession &Session);
+  void logOutcome(const CallerSession &Session, const StatementReply &Reply,
                   Time Now);
   void expire(Time Now);
   void continueShutdown(Time Now);
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -52,7 +52,8 @@
 
 // Dispatch.
 
-bool StatementExecutor::hasWaitedEnough(const Session &Session, Time Now) {
+bool StatementExecutor::hasWaitedEnough(const CallerSession &Session,
+                                        Time Now) {
   const Task &Task = *Session.m_Task;
   Duration Limit = milliseconds(Session.m_Policy.m_StatementTimeoutMs) *
                    kWaitShareFactor / kWaitShareDivisor;
@@ -66,7 +67,7 @@
   return true;
 }
 
-void StatementExecutor::submit(Session &Session, Time Now) {
+void StatementExecutor::submit(CallerSession &Session, Time Now) {
   m_RetryBudget = std::min(kMaxRetryBudget, m_RetryBudget + kRetryShare);
   if (!Session.m_Pinned)
     return wait(Session, Now);
@@ -76,7 +77,7 @@
   advance(Session, *Connection, Now);
 }
 
-void StatementExecutor::wait(Session &Session, Time Now) {
+void StatementExecutor::wait(CallerSession &Session, Time Now) {
   if (dispatch(Session, Now))
     return;
   Session.m_Task->m_IsWaitingForInstance = true;
@@ -92,7 +93,7 @@
     if (Found == m_Sessions.end() || !Found->second.m_Task ||
         !Found->second.m_Task->m_IsWaitingForInstance)
       continue;
-    Session &Session = Found->second;
+    CallerSession &Session = Found->second;
     Session.m_Task->m_IsWaitingForInstance = false;
     if (dispatch(Session, Now))
       continue;
@@ -101,7 +102,7 @@
   }
 }
 
-bool StatementExecutor::dispatch(Session &Session, Time Now) {
+bool StatementExecutor::dispatch(CallerSession &Session, Time Now) {
   Task &Task = *Session.m_Task;
   if (Now < Task.m_NotBefore)
     return false;
@@ -122,7 +123,7 @@
 
 // Statements of one attempt.
 
-bool StatementExecutor::synchronise(Session &Session,
+bool StatementExecutor::synchronise(CallerSession &Session,
                                     InstanceConnection &Connection, Time Now) {
   bool HasForeign =
       std::any_of(Connection.m_Values.begin(), Connection.m_Values.end(),
@@ -161,7 +162,7 @@
   return false;
 }
 
-void StatementExecutor::advance(Session &Session,
+void StatementExecutor::advance(CallerSession &Session,
                                 InstanceConnection &Connection, Time Now) {
   if (!synchronise(Session, Connection, Now))
     return;
@@ -173,7 +174,7 @@
   sendMain(Session, Connection, Needed, Now);
 }
 
-void StatementExecutor::sendBegin(Session &Session,
+void StatementExecutor::sendBegin(CallerSession &Session,
                                   InstanceConnection &Connection,
                                   const Requirement &Needed, Time Now) {
   bool IsForwarded =
@@ -190,7 +191,7 @@
               Now);
 }
 
-void StatementExecutor::sendMain(Session &Session,
+void StatementExecutor::sendMain(CallerSession &Session,
                                  InstanceConnection &Connection,
                                  const Requirement &Needed, Time Now) {
   Task &Task = *Session.m_Task;
@@ -306,7 +307,7 @@
       Connection->m_InTransaction = false;
     return onOrphanReplied(*Connection, Now);
   }
-  Session &Session = Found->second;
+  CallerSession &Session = Found->second;
   if (Step == ConnectionStep::Main) {
     m_Views.onLatency(Connection->m_Instance, Now - Connection->m_SentAt);
     return onMainReplied(Session, *Connection, Reply, Now);
@@ -339,7 +340,7 @@
               ownStatement(StatementKind::Rollback), std::nullopt, Now);
 }
 
-void StatementExecutor::onBeginReplied(Session &Session,
+void StatementExecutor::onBeginReplied(CallerSession &Session,
                                        InstanceConnection &Connection,
                                        const StatementReply &Reply, Time Now) {
   if (!Reply.m_Error) {
@@ -359,7 +360,7 @@
   retry(Session, Instance, Why, Error, Now);
 }
 
-void StatementExecutor::onMainReplied(Session &Session,
+void StatementExecutor::onMainReplied(CallerSession &Session,
                                       InstanceConnection &Connection,
                                       StatementReply Reply, Time Now) {
   Task &Task = *Session.m_Task;
@@ -419,7 +420,8 @@
 
 // Failures.
 
-SessionError StatementExecutor::errorAfterLoss(const Session &Session) const {
+SessionError
+StatementExecutor::errorAfterLoss(const CallerSession &Session) const {
   const Task &Task = *Session.m_Task;
   const Statement &Main = Task.m_Received.m_Statement;
   if (!Task.m_IsSent)
@@ -446,7 +448,7 @@
   auto Found = Owner ? m_Sessions.find(Owner->m_Value) : m_Sessions.end();
   if (Found == m_Sessions.end())
     return;
-  Session &Session = Found->second;
+  CallerSession &Session = Found->second;
   bool WasPinned = Session.m_Pinned == Id;
   if (WasPinned)
     Session.m_Pinned.reset();
@@ -465,7 +467,8 @@
        "the connection to " + Instance.m_Value + " is lost");
 }
 
-void StatementExecutor::retry(Session &Session, const InstanceName &Failed,
+void StatementExecutor::retry(CallerSession &Session,
+                              const InstanceName &Failed,
                               const std::string &Why, SessionError Error,
                               Time Now) {
   Task &Task = *Session.m_Task;
@@ -487,7 +490,7 @@
   wait(Session, Now);
 }
 
-void StatementExecutor::fail(Session &Session, SessionError Error,
+void StatementExecutor::fail(CallerSession &Session, SessionError Error,
                              const std::string &Text) {
   StatementReply Reply;
   Reply.m_Error = Error;
@@ -499,12 +502,12 @@
   finish(Session, std::move(Reply));
 }
 
-void StatementExecutor::finish(Session &Session, StatementReply Reply) {
+void StatementExecutor::finish(CallerSession &Session, StatementReply Reply) {
   Session.m_Task->m_Connection.reset();
   m_Finished.push_back(Finished{Session.m_Id, std::move(Reply)});
 }
 
-StatementReply StatementExecutor::giveUp(Session &Session, Time Now) {
+StatementReply StatementExecutor::giveUp(CallerSession &Session, Time Now) {
   Task &Task = *Session.m_Task;
   StatementReply Reply;
   Reply.m_Error = Task.m_IsSent ? errorAfterLoss(Session) : SessionError::Busy;
@@ -535,7 +538,7 @@
   return Reply;
 }
 
-void StatementExecutor::rollBack(Session &Session, Time Now) {
+void StatementExecutor::rollBack(CallerSession &Session, Time Now) {
   if (!Session.m_Pinned)
     return;
   InstanceConnection *Connection = m_Pool.find(*Session.m_Pinned);
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -24,12 +24,12 @@
         m_Views(Board), m_Pool(Board, Actions), m_Chooser(m_Views, m_Pool) {}
 
   /// Runs Session.m_Task, which is set.
-  void submit(Session &Session, Time Now);
+  void submit(CallerSession &Session, Time Now);
   /// Gives up the task because the caller is gone or its deadline has passed,
   /// and returns what can be said of it.
-  StatementReply giveUp(Session &Session, Time Now);
+  StatementReply giveUp(CallerSession &Session, Time Now);
   /// Rolls back the open transaction; nobody waits for the answer.
-  void rollBack(Session &Session, Time Now);
+  void rollBack(CallerSession &Session, Time Now);
 
   void onConnected(const InstanceConnected &Event, Time Now);
   void onRefused(const InstanceRefused &Event, Time Now);
@@ -40,28 +40,30 @@
   void dispatchWaiting(Time Now);
   void tick(Time Now);
   /// Whether a waiting task has waited as long as it may before it is refused.
-  static bool hasWaitedEnough(const Session &Session, Time Now);
+  static bool hasWaitedEnough(const CallerSession &Session, Time Now);
   std::vector<Finished> takeFinished() { return std::exchange(m_Finished, {}); }
 
   const InstancePool &pool() const { return m_Pool; }
   CounterList counters() const;
 
 private:
-  void wait(Session &Session, Time Now);
+  void wait(CallerSession &Session, Time Now);
   /// Whether a failed attempt may be repeated without adding to an overload.
   bool spendRetry();
   /// Returns whether the task found a connection.
-  bool dispatch(Session &Session, Time Now);
+  bool dispatch(CallerSession &Session, Time Now);
   /// Sends the next statement that brings the task forward.
-  void advance(Session &Session, InstanceConnection &Connection, Time Now);
-  bool synchronise(Session &Session, InstanceConnection &Connection, Time Now);
-  void sendBegin(Session &Session, InstanceConnection &Connection,
+  void advance(CallerSession &Session, InstanceConnection &Connection,
+               Time Now);
+  bool synchronise(CallerSession &Session, InstanceConnection &Connection,
+                   Time Now);
+  void sendBegin(CallerSession &Session, InstanceConnection &Connection,
                  const Requirement &Needed, Time Now);
-  void sendMain(Session &Session, InstanceConnection &Connection,
+  void sendMain(CallerSession &Session, InstanceConnection &Connection,
                 const Requirement &Needed, Time Now);
-  void onMainReplied(Session &Session, InstanceConnection &Connection,
+  void onMainReplied(CallerSession &Session, InstanceConnection &Connection,
                      StatementReply Reply, Time Now);
-  void onBeginReplied(Session &Session, InstanceConnection &Connection,
+  void onBeginReplied(CallerSession &Session, InstanceConnection &Connection,
                       const StatementReply &Reply, Time Now);
   void onOrphanReplied(InstanceConnection &Connection, Time Now);
   void noteError(const InstanceConnection &Connection, SessionError Error,
@@ -69,13 +71,14 @@
   /// Returns the connection to the pool, after a rollback when one is due.
   void letGo(InstanceConnection &Connection, Time Now);
   /// Tries the task again elsewhere, or ends it when that is no use.
-  void retry(Session &Session, const InstanceName &Failed,
+  void retry(CallerSession &Session, const InstanceName &Failed,
              const std::string &Why, SessionError Error, Time Now);
-  void finish(Session &Session, StatementReply Reply);
+  void finish(CallerSession &Session, StatementReply Reply);
   /// Ends the task and the transaction that it belongs to.
-  void fail(Session &Session, SessionError Error, const std::string &Text);
+  void fail(CallerSession &Session, SessionError Error,
+            const std::string &Text);
   /// What is true of a statement whose connection is gone.
-  SessionError errorAfterLoss(const Session &Session) const;
+  SessionError errorAfterLoss(const CallerSession &Session) const;
   void closeSilent(Time Now);
   void report(Time Now);
 
