Form and keep the control cluster where seeds have no disk

Cause: the control role had one host a zone. With two hosts a zone, some control hosts have no disk, and the seeds can be any three of them, so listed founders with a disk cannot be relied on. A second gap: a silent voter was removed down to three voters, although two disks may be lost at the same time.

Ruled out: a share that meets exactly the machines with a disk on the known sites (a spare or another size changes it); one host forming a cluster of one (which, when it dies half way?).

Change: founders without a disk take part with a log in memory, accept no operator change, and are removed once hosts with a disk have joined; they and all other control hosts without a disk relay from then on. Members describe themselves, the leader informs seeds that only relay, proxies turn from a relay to the members. Voters stay as long as fewer than 2 x losses + 1 would be left.

--- a/include/almondpier/ControlHost.h
+++ b/include/almondpier/ControlHost.h
@@ -23,7 +23,11 @@
   std::string m_AnnouncementSecret;
   /// Name of each operator by the digest of the operator's key.
   std::map<KeyDigest, std::string> m_Operators;
+  /// Empty on a host without a disk: it takes part as a founder until hosts
+  /// with a disk have taken over, and otherwise only relays to the members.
   std::string m_DataFolder;
+  /// Disks of control hosts that may be lost at the same time.
+  uint32_t m_LostDisksBorne = 1;
   /// Forms a new cluster of one when the data folder is empty.
   bool m_Bootstrap = false;
   /// Peer endpoints of control hosts that an empty data folder joins.
--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -43,11 +43,14 @@
   Endpoint m_Peer;
   /// HTTP endpoint for operators and announcements.
   Endpoint m_Operations;
+  /// Keeps the log on a disk. A founder is listed without one until it has
+  /// described itself, because founders know one another by address only.
+  bool m_IsDurable = true;
 
   friend auto operator<=>(const ControlMember &,
                           const ControlMember &) = default;
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(m_Id, m_Host, m_Zone, m_Peer, m_Operations);
+    Ar(m_Id, m_Host, m_Zone, m_Peer, m_Operations, m_IsDurable);
   }
 };
 
@@ -267,13 +270,34 @@
   }
 };
 /// A control host with an empty data folder asks the leader to add it as a
-/// learner.
+/// learner. A member describes itself with it when its record is outdated.
 struct JoinRequest {
   ControlMember m_Member;
 
   friend auto operator<=>(const JoinRequest &, const JoinRequest &) = default;
   template <typename Archive> void serialize(Archive &Ar) { Ar(m_Member); }
 };
+/// Asks a control host which hosts are the members.
+struct MembersRequest {
+  friend auto operator<=>(const MembersRequest &,
+                          const MembersRequest &) = default;
+  template <typename Archive> void serialize(Archive & /*Ar*/) {}
+};
+/// Also answers a poll at a control host that keeps no log and so proves
+/// nothing.
+struct MembersReply {
+  uint64_t m_Term = 0;
+  /// 0 when unknown.
+  MemberId m_Leader;
+  /// The sender leads and has applied an entry of its own term.
+  bool m_IsFromLeader = false;
+  std::vector<ControlMember> m_Voters;
+
+  friend auto operator<=>(const MembersReply &, const MembersReply &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Term, m_Leader, m_IsFromLeader, m_Voters);
+  }
+};
 /// A change that a follower relays to the leader.
 struct ProposeRequest {
   uint64_t m_Sequence = 0;
@@ -579,7 +603,7 @@
                  JoinRequest, ProposeRequest, ProposeReply, RelayAnnouncement,
                  PollRequest, PollReply, TokenRequest, TokenGrant, TokenReturn,
                  Heartbeat, HeartbeatNonce, ForwardRequest, ForwardReply,
-                 ForwardCancel, InstanceCheckIn>;
+                 ForwardCancel, InstanceCheckIn, MembersRequest, MembersReply>;
 
 std::string encode(const Message &Message);
 /// Throws DecodeError.
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -84,7 +84,8 @@
                       HostName{Peer.m_Address},
                       {},
                       Peer,
-                      Endpoint{Peer.m_Address, OperationsPort}});
+                      Endpoint{Peer.m_Address, OperationsPort},
+                      false});
   return Members;
 }
 
@@ -137,8 +138,10 @@
   ControlOptions coreOptions() {
     ControlOptions Options;
     Options.m_Self =
-        ControlMember{m_Store.memberId(), m_Settings.m_Host, m_Settings.m_Zone,
-                      m_Settings.m_Peer, publicOperations()};
+        ControlMember{m_Store.memberId(), m_Settings.m_Host,
+                      m_Settings.m_Zone,  m_Settings.m_Peer,
+                      publicOperations(), !m_Settings.m_DataFolder.empty()};
+    Options.m_LostDisksBorne = m_Settings.m_LostDisksBorne;
     if (m_Settings.m_Bootstrap && !m_Settings.m_Join.empty())
       throw Error(ErrorKind::BadRequest,
                   "--bootstrap forms a new cluster and --join enters one; give "
@@ -169,7 +172,7 @@
     if (Found == Founders.end())
       return;
     m_Store.found(Found->m_Id, clusterOf(Founders), Founders);
-    Self = *Found;
+    Self.m_Id = Found->m_Id;
   }
 
   OperationId beginOperation(OnReply Reply) {
--- a/src/control/ControlStore.cpp
+++ b/src/control/ControlStore.cpp
@@ -4,20 +4,26 @@
 
 namespace almondpier {
 
-ControlStore::ControlStore(const std::string &Folder) : m_Folder(Folder) {
-  if (!m_Folder.isInitialised()) {
+ControlStore::ControlStore(const std::string &Folder) {
+  if (!Folder.empty())
+    m_Folder.emplace(Folder);
+  if (!m_Folder || !m_Folder->isInitialised()) {
     m_MemberId = MemberId{drawIdentifier()};
     return;
   }
-  m_Log = m_Folder.load();
-  m_MemberId = m_Folder.identity().m_Member;
-  m_ClusterId = m_Folder.identity().m_ClusterId;
+  m_Log = m_Folder->load();
+  m_MemberId = m_Folder->identity().m_Member;
+  m_ClusterId = m_Folder->identity().m_ClusterId;
 }
 
 void ControlStore::initialise(uint64_t ClusterId, const PersistedLog &Log) {
-  m_Folder.initialise(m_MemberId, ClusterId, Log);
-  m_Log = m_Folder.load();
   m_ClusterId = ClusterId;
+  if (!m_Folder) {
+    m_Log = Log;
+    return;
+  }
+  m_Folder->initialise(m_MemberId, ClusterId, Log);
+  m_Log = m_Folder->load();
 }
 
 void ControlStore::bootstrap(const ControlMember &Self) {
@@ -31,11 +37,13 @@
 }
 
 void ControlStore::persist(PersistLog Change) {
+  if (!m_Folder)
+    return;
   ConsensusOutput Output;
   Output.m_HardState = Change.m_HardState;
   Output.m_InstalledSnapshot = std::move(Change.m_InstalledSnapshot);
   Output.m_Entries = std::move(Change.m_Entries);
-  m_Folder.persist(Output);
+  m_Folder->persist(Output);
 }
 
 } // namespace almondpier
--- a/src/control/ControlStore.h
+++ b/src/control/ControlStore.h
@@ -7,12 +7,14 @@
 
 namespace almondpier {
 
-/// Identity, log and snapshots of one control host. All functions throw
-/// StorageError when the folder cannot be used.
+/// Identity, log and snapshots of one control host; without a folder, nothing
+/// outlives the process. All functions throw StorageError when the folder
+/// cannot be used.
 class ControlStore {
 public:
-  /// Opens the folder. An empty one stays so until the host belongs to a
-  /// cluster; its member identifier is drawn anew at each start until then.
+  /// Opens the folder, unless its name is empty. An empty folder stays so until
+  /// the host belongs to a cluster; its member identifier is drawn anew at each
+  /// start until then.
   explicit ControlStore(const std::string &Folder);
 
   MemberId memberId() const { return m_MemberId; }
@@ -31,11 +33,12 @@
   /// Returns once everything is synced.
   void persist(PersistLog Change);
   void persistSnapshot(const Snapshot &Snapshot) {
-    m_Folder.writeSnapshot(Snapshot);
+    if (m_Folder)
+      m_Folder->writeSnapshot(Snapshot);
   }
 
 private:
-  DataFolder m_Folder;
+  std::optional<DataFolder> m_Folder;
   MemberId m_MemberId;
   uint64_t m_ClusterId = 0;
   PersistedLog m_Log;
--- a/src/decision/consensus/Leading.cpp
+++ b/src/decision/consensus/Leading.cpp
@@ -121,12 +121,17 @@
 
 std::optional<MemberId> Consensus::State::mostAdvancedVoter() const {
   std::optional<MemberId> Best;
+  // Of equals, one that keeps its log is the better leader.
+  std::pair<uint64_t, bool> BestRank;
   for (const ControlMember &Voter : m_Log.membership().m_Voters) {
     auto Found = m_Progress.find(Voter.m_Id);
     if (Found == m_Progress.end())
       continue;
-    if (!Best || Found->second.m_Match > m_Progress.at(*Best).m_Match)
-      Best = Voter.m_Id;
+    std::pair<uint64_t, bool> Rank(Found->second.m_Match, Voter.m_IsDurable);
+    if (Best && Rank <= BestRank)
+      continue;
+    Best = Voter.m_Id;
+    BestRank = Rank;
   }
   return Best;
 }
--- a/src/decision/control/ChangeController.cpp
+++ b/src/decision/control/ChangeController.cpp
@@ -69,6 +69,13 @@
 
 void ChangeController::propose(OperationId Id, const Change &Proposed,
                                ControlContext &Context) {
+  if (!Context.m_Board.isDurable())
+    return reply(Id,
+                 ErrorReport{ErrorKind::Overloaded,
+                             "the cluster is being formed and has voters "
+                             "without a disk; retry in a second",
+                             Ran::No, 1'000},
+                 Context);
   std::string Data = encode(Proposed);
   if (Data.size() > kMaxChangeBytes)
     return reply(
--- a/src/decision/control/ControlBlackboard.cpp
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -1,5 +1,7 @@
 #include "decision/control/ControlBlackboard.h"
 
+#include <algorithm>
+
 namespace almondpier {
 
 const ControlMember *ControlBlackboard::findMember(MemberId Id) const {
@@ -12,6 +14,18 @@
   return nullptr;
 }
 
+bool ControlBlackboard::isVoterAt(const Endpoint &Peer) const {
+  return std::any_of(
+      m_Membership.m_Voters.begin(), m_Membership.m_Voters.end(),
+      [&](const ControlMember &Voter) { return Voter.m_Peer == Peer; });
+}
+
+bool ControlBlackboard::isDurable() const {
+  return std::all_of(
+      m_Membership.m_Voters.begin(), m_Membership.m_Voters.end(),
+      [](const ControlMember &Voter) { return Voter.m_IsDurable; });
+}
+
 void ControlContext::proposeBySystem(const ChangeBody &Body,
                                      const std::string &Actor) {
   Change Proposed;
@@ -27,10 +41,15 @@
 }
 
 void ControlContext::refuseAsFollower(OperationId Id) {
+  m_Actions.push_back(refusalByFollower(m_Board, Id));
+}
+
+ReplyToOperation refusalByFollower(const ControlBlackboard &Board,
+                                   OperationId Id) {
   ReplyToOperation Reply;
   Reply.m_Id = Id;
-  const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader);
-  bool IsKnown = Leader != nullptr && Leader->m_Id != m_Board.m_Self.m_Id;
+  const ControlMember *Leader = Board.findMember(Board.m_Leader);
+  bool IsKnown = Leader != nullptr && Leader->m_Id != Board.m_Self.m_Id;
   Reply.m_Error = ErrorReport{
       ErrorKind::NotLeader,
       IsKnown ? "control host '" + Leader->m_Host.m_Value + "' leads, at " +
@@ -39,7 +58,7 @@
       Ran::No, 0};
   if (IsKnown)
     Reply.m_Leader = Leader->m_Operations;
-  m_Actions.push_back(std::move(Reply));
+  return Reply;
 }
 
 } // namespace almondpier
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -77,8 +77,17 @@
   const Configuration &configuration() const { return m_State.configuration(); }
   /// Returns the member with this identifier, or null.
   const ControlMember *findMember(MemberId Id) const;
+  bool isVoterAt(const Endpoint &Peer) const;
+  /// Whether every voter keeps the log on a disk. Until then a loss of power
+  /// can undo what the voters agreed on.
+  bool isDurable() const;
 };
 
+/// Refuses an operation because another host leads, and names that host when
+/// it is known.
+ReplyToOperation refusalByFollower(const ControlBlackboard &Board,
+                                   OperationId Id);
+
 /// What a controller needs to act on an event.
 struct ControlContext {
   const ControlBlackboard &m_Board;
@@ -89,7 +98,6 @@
   /// Appends a change by the system to the log, at the leader.
   void proposeBySystem(const ChangeBody &Body, const std::string &Actor);
   void reportStateChange(std::string Text);
-  /// Refuses an operation because another host leads.
   void refuseAsFollower(OperationId Id);
 };
 
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -3,6 +3,7 @@
 #include "decision/control/AllocatorController.h"
 #include "decision/control/AnnouncementController.h"
 #include "decision/control/ChangeController.h"
+#include "decision/control/ControlRelay.h"
 #include "decision/control/DirectoryController.h"
 #include "decision/control/FailoverController.h"
 #include "decision/control/FeedController.h"
@@ -12,6 +13,7 @@
 #include "decision/control/PromotionController.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondpier {
 
@@ -35,6 +37,7 @@
   ControlBlackboard m_Board;
   std::unique_ptr<Consensus> m_Log;
   PeerLinks m_Links;
+  ControlRelay m_Relay;
   ChangeController m_Changes;
   FeedController m_Feed;
   LivenessController m_Liveness;
@@ -51,16 +54,20 @@
   uint64_t m_AppliedSinceStart = 0;
   uint64_t m_Snapshots = 0;
   std::optional<Time> m_JoinedAt;
+  std::optional<Time> m_AskedAt;
+  std::optional<Time> m_InformedSeedsAt;
+  /// The leader's answer that no longer lists this founder.
+  std::optional<MembersReply> m_Dismissal;
   /// Where each member's messages came from while this host is joining.
   std::map<MemberId, LinkId> m_LinkOfMember;
   std::optional<Time> m_ShutdownUntil;
   bool m_IsShutdownComplete = false;
 
   State(const ControlOptions &Options, Time Now)
-      : m_Options(Options), m_Feed(m_Board), m_Liveness(m_Board, Now),
-        m_Allocator(m_Board), m_Failover(m_Board),
-        m_Membership(m_Board, m_Changes), m_Announcements(m_Board),
-        m_Directory(m_Board), m_Promotions(m_Board),
+      : m_Options(Options), m_Relay(m_Board, m_Links), m_Feed(m_Board),
+        m_Liveness(m_Board, Now), m_Allocator(m_Board), m_Failover(m_Board),
+        m_Membership(m_Board, m_Changes, 2 * Options.m_LostDisksBorne + 1),
+        m_Announcements(m_Board), m_Directory(m_Board), m_Promotions(m_Board),
         m_ClusterId(Options.m_ClusterId) {
     m_Board.m_Self = Options.m_Self;
     if (m_ClusterId != 0)
@@ -89,67 +96,80 @@
   void handle(const ControlEvent &Event, Time Now, ControlActions &Actions) {
     m_Links.setPeers(wantedPeers(), Actions, Now);
     if (!m_Log) {
-      handleWhileJoining(Event, Now, Actions);
+      handleWithoutLog(Event, Now, Actions);
       if (!m_Log)
         return;
     }
     ControlContext Context = contextOf(Actions, Now);
     std::visit([&](const auto &Value) { on(Value, Context); }, Event);
     carryOutLog(Context);
+    if (m_Dismissal)
+      becomeRelay(Now, Actions);
   }
 
-  void handleWhileJoining(const ControlEvent &Event, Time Now,
-                          ControlActions &Actions) {
+  bool isRelay() const { return !m_Log && !m_Board.m_Self.m_IsDurable; }
+
+  /// Joins with an empty data folder, or relays without one.
+  void handleWithoutLog(const ControlEvent &Event, Time Now,
+                        ControlActions &Actions) {
     if (const ClockTick *Tick = std::get_if<ClockTick>(&Event)) {
       m_Board.m_WallTimeMs = Tick->m_WallTimeMs;
       m_Links.tick(Actions, Now);
-      askToJoin(Actions, Now);
+      if (isRelay())
+        m_Relay.tick(Actions, Now);
+      else
+        askToJoin(Actions, Now);
     } else if (const LinkOpened *Opened = std::get_if<LinkOpened>(&Event)) {
       m_Links.onOpened(Opened->m_Link, Now);
     } else if (const LinkClosed *Closed = std::get_if<LinkClosed>(&Event)) {
       m_Links.onClosed(Closed->m_Link, Now);
     } else if (const MessageReceived *Received =
                    std::get_if<MessageReceived>(&Event)) {
-      m_Links.onReceived(Received->m_Link, Now);
-      if (std::holds_alternative<Ping>(Received->m_Message))
-        echoPing(Received->m_Link, Actions);
-      const ConsensusMessage *Message =
-          std::get_if<ConsensusMessage>(&Received->m_Message);
-      if (Message != nullptr && Message->m_To == m_Board.m_Self.m_Id &&
-          Message->m_ClusterId != 0)
-        adoptCluster(Message->m_ClusterId, Now, Actions);
+      receiveWithoutLog(*Received, Now, Actions);
     } else if (std::holds_alternative<ShutdownRequested>(Event)) {
       Actions.push_back(ShutdownComplete{});
-    } else {
-      refuseWhileJoining(Event, Actions);
+    } else if (const InstanceCheckedIn *CheckIn =
+                   std::get_if<InstanceCheckedIn>(&Event)) {
+      m_Relay.onCheckIn(*CheckIn, Actions);
+    } else if (std::optional<OperationId> Id = operationOf(Event)) {
+      Actions.push_back(refusalByFollower(m_Board, *Id));
     }
   }
 
-  static void refuseWhileJoining(const ControlEvent &Event,
-                                 ControlActions &Actions) {
-    ReplyToOperation Reply;
-    Reply.m_Error =
-        ErrorReport{ErrorKind::NotLeader,
-                    "this control host has not joined a cluster", Ran::No, 0};
-    if (const OperatorChange *Change = std::get_if<OperatorChange>(&Event))
-      Reply.m_Id = Change->m_Id;
-    else if (const OperatorRead *Read = std::get_if<OperatorRead>(&Event))
-      Reply.m_Id = Read->m_Id;
-    else if (const OperatorRemoveMember *Remove =
-                 std::get_if<OperatorRemoveMember>(&Event))
-      Reply.m_Id = Remove->m_Id;
-    else if (const InstanceAnnounced *Announced =
-                 std::get_if<InstanceAnnounced>(&Event))
-      Reply.m_Id = Announced->m_Id;
-    else if (const PolicySubmitted *Policy =
-                 std::get_if<PolicySubmitted>(&Event))
-      Reply.m_Id = Policy->m_Id;
-    else if (const InstanceCheckedIn *CheckIn =
-                 std::get_if<InstanceCheckedIn>(&Event))
-      Reply.m_Id = CheckIn->m_Id;
-    else
-      return;
-    Actions.push_back(std::move(Reply));
+  void receiveWithoutLog(const MessageReceived &Event, Time Now,
+                         ControlActions &Actions) {
+    m_Links.onReceived(Event.m_Link, Now);
+    if (std::holds_alternative<Ping>(Event.m_Message))
+      return echoPing(Event.m_Link, Actions);
+    if (isRelay())
+      return m_Relay.onMessage(Event.m_Link, Event.m_Message, Actions, Now);
+    const ConsensusMessage *Message =
+        std::get_if<ConsensusMessage>(&Event.m_Message);
+    if (Message != nullptr && Message->m_To == m_Board.m_Self.m_Id &&
+        Message->m_ClusterId != 0)
+      adoptCluster(Message->m_ClusterId, Now, Actions);
+  }
+
+  static std::optional<OperationId> operationOf(const ControlEvent &Event) {
+    return std::visit(
+        [](const auto &Value) -> std::optional<OperationId> {
+          if constexpr (requires { OperationId{Value.m_Id}; })
+            return Value.m_Id;
+          else
+            return std::nullopt;
+        },
+        Event);
+  }
+
+  /// A founder without a disk, which other hosts have replaced, gives up its
+  /// log.
+  void becomeRelay(Time Now, ControlActions &Actions) {
+    Actions.push_back(ReportStateChange{
+        "no longer a member: hosts with a disk have taken over"});
+    m_Log.reset();
+    m_ClusterId = 0;
+    m_Board.m_Membership = {};
+    m_Relay.learn(*std::exchange(m_Dismissal, std::nullopt), Actions, Now);
   }
 
   void adoptCluster(uint64_t ClusterId, Time Now, ControlActions &Actions) {
@@ -160,7 +180,8 @@
   }
 
   void askToJoin(ControlActions &Actions, Time Now) {
-    if (m_JoinedAt && Now - *m_JoinedAt < kJoinInterval)
+    bool IsDue = !m_JoinedAt || Now - *m_JoinedAt >= kJoinInterval;
+    if (!m_Board.m_Self.m_IsDurable || !IsDue)
       return;
     m_JoinedAt = Now;
     m_Links.sendToAll(JoinRequest{m_Board.m_Self}, Actions);
@@ -170,7 +191,9 @@
 
   std::set<Endpoint> wantedPeers() const {
     std::set<Endpoint> Peers;
-    if (isJoining() || m_LeaderlessSince)
+    bool IsLeaderUnknown =
+        isRelay() ? !m_Relay.isReady() : m_LeaderlessSince.has_value();
+    if (isJoining() || IsLeaderUnknown || m_Board.m_IsLeader)
       Peers.insert(m_Options.m_JoinPeers.begin(), m_Options.m_JoinPeers.end());
     for (const std::vector<ControlMember> *Members :
          {&m_Board.m_Membership.m_Voters, &m_Board.m_Membership.m_Learners})
@@ -180,6 +203,42 @@
     return Peers;
   }
 
+  /// Replaces what the founders' list says of this host, or what its earlier
+  /// settings said.
+  void describeSelf(ControlContext &Context) {
+    const ControlMember &Self = m_Board.m_Self;
+    const ControlMember *Known = m_Board.findMember(Self.m_Id);
+    if (Known == nullptr || *Known == Self || m_Board.m_Leader.m_Value == 0)
+      return;
+    if (m_Board.m_IsLeader)
+      m_Membership.onJoinRequest(JoinRequest{Self}, Context);
+    else
+      askToJoin(Context.m_Actions, Context.m_Now);
+  }
+
+  /// Seeds that only relay know no member after a start, and other hosts may
+  /// know nothing but them.
+  void informSeeds(ControlContext &Context) {
+    if (!m_Board.m_IsLeader ||
+        (m_InformedSeedsAt &&
+         Context.m_Now - *m_InformedSeedsAt < kJoinInterval))
+      return;
+    m_InformedSeedsAt = Context.m_Now;
+    for (const Endpoint &Seed : m_Options.m_JoinPeers)
+      if (!m_Board.isVoterAt(Seed))
+        m_Links.send(Seed, describeMembers(m_Board), Context.m_Actions);
+  }
+
+  /// A founder without a disk asks whether it is still a member, because the
+  /// entry that removes it may not reach it.
+  void askIfDismissed(ControlContext &Context) {
+    bool IsDue = !m_AskedAt || Context.m_Now - *m_AskedAt >= kJoinInterval;
+    if (m_Board.m_Self.m_IsDurable || !m_LeaderlessSince || !IsDue)
+      return;
+    m_AskedAt = Context.m_Now;
+    m_Links.sendToAll(MembersRequest{}, Context.m_Actions);
+  }
+
   void on(const OperatorChange &Event, ControlContext &Context) {
     m_Changes.submit(Event, Context);
   }
@@ -268,10 +327,15 @@
                   Context.m_Now - *m_LeaderlessSince >= kLeaderlessLimit;
     if (isJoining() || IsLost)
       askToJoin(Context.m_Actions, Context.m_Now);
+    describeSelf(Context);
+    askIfDismissed(Context);
+    informSeeds(Context);
     continueShutdown(Context);
   }
 
   bool isReady() const {
+    if (isRelay())
+      return m_Relay.isReady();
     return !m_Board.m_IsShuttingDown && !isJoining() &&
            (m_Board.m_IsLeader ||
             (m_Board.findMember(m_Board.m_Leader) != nullptr &&
@@ -339,6 +403,20 @@
     else if (Message.m_Member.m_Id != m_Board.m_Self.m_Id)
       sendToLeader(Message, Context);
   }
+  void onMessage(LinkId Link, const MembersRequest & /*Message*/,
+                 ControlContext &Context) {
+    Context.m_Actions.push_back(SendMessage{Link, describeMembers(m_Board)});
+  }
+  void onMessage(LinkId /*Link*/, const MembersReply &Message,
+                 ControlContext & /*Context*/) {
+    const ControlMember &Self = m_Board.m_Self;
+    auto IsSelf = [&](const ControlMember &Voter) {
+      return Voter.m_Id == Self.m_Id;
+    };
+    if (!Self.m_IsDurable && Message.m_IsFromLeader &&
+        std::none_of(Message.m_Voters.begin(), Message.m_Voters.end(), IsSelf))
+      m_Dismissal = Message;
+  }
   void onMessage(LinkId /*Link*/, const ProposeRequest &Message,
                  ControlContext &Context) {
     const RegisterHost *Registration =
--- a/src/decision/control/ControlCore.h
+++ b/src/decision/control/ControlCore.h
@@ -19,6 +19,9 @@
   /// none.
   std::vector<Endpoint> m_JoinPeers;
   uint64_t m_Seed = 0;
+  /// Disks that may be lost at the same time. An absence of members never
+  /// shrinks the cluster to fewer copies than that takes.
+  size_t m_LostDisksBorne = 1;
 };
 
 class ControlCore {
--- a/src/decision/control/MembershipController.cpp
+++ b/src/decision/control/MembershipController.cpp
@@ -7,14 +7,18 @@
 namespace {
 
 constexpr Duration kStepInterval = std::chrono::milliseconds(50);
-/// Voters that stay although they are silent, so that an absence of members
-/// never shrinks the cluster to fewer copies.
-constexpr size_t kMinVoters = 3;
 /// A voter that sent nothing for so long, with enough others present, is
 /// removed; it joins again as a learner when it returns. Longer than an
 /// election and a stalled disk of 2 s.
 constexpr Duration kVoterSilence = std::chrono::milliseconds(3'000);
 
+/// A founder with a disk describes itself well within this time after an
+/// election, so one that has not is taken to have none.
+constexpr Duration kDescriptionTime = std::chrono::milliseconds(1'000);
+/// With fewer durable voters than wanted after this time, no others are
+/// expected: all hosts start within a few hundred milliseconds.
+constexpr Duration kFoundingTime = std::chrono::milliseconds(2'500);
+
 std::string describeMember(const ControlMember &Member) {
   return "control host " + Member.m_Host.m_Value + " (member " +
          std::to_string(Member.m_Id.m_Value) + ")";
@@ -25,6 +29,13 @@
                 [&](const ControlMember &Member) { return Member.m_Id == Id; });
 }
 
+void replaceRecord(std::vector<ControlMember> &Members,
+                   const ControlMember &Record) {
+  for (ControlMember &Member : Members)
+    if (Member.m_Id == Record.m_Id)
+      Member = Record;
+}
+
 const ControlMember *findHost(const std::vector<ControlMember> &Members,
                               const ControlMember &Wanted) {
   auto Found = std::find_if(
@@ -50,10 +61,17 @@
 void MembershipController::onJoinRequest(const JoinRequest &Request,
                                          ControlContext &Context) {
   const ControlMember &Joining = Request.m_Member;
-  if (!m_Board.m_IsLeader || Joining.m_Id.m_Value == 0 ||
-      m_Board.findMember(Joining.m_Id) != nullptr)
+  if (!m_Board.m_IsLeader || Joining.m_Id.m_Value == 0)
     return;
   Membership Target = m_Board.m_Membership;
+  if (const ControlMember *Known = m_Board.findMember(Joining.m_Id)) {
+    if (*Known == Joining)
+      return;
+    replaceRecord(Target.m_Voters, Joining);
+    replaceRecord(Target.m_Learners, Joining);
+    return propose(Target, "new description of " + describeMember(Joining),
+                   Context);
+  }
   if (const ControlMember *Old = findHost(Target.m_Learners, Joining)) {
     // A learner that lost its disk before it became a voter.
     std::string Description = "remove learner: " + describeMember(*Old);
@@ -109,13 +127,40 @@
   if (!m_Board.m_IsLeader || Context.m_Now - m_SteppedAt < kStepInterval)
     return;
   m_SteppedAt = Context.m_Now;
-  if (!replaceOldIdentifier(Context) && !promoteLearner(Context))
+  if (!replaceOldIdentifier(Context) && !promoteLearner(Context) &&
+      !dismissFounder(Context))
     removeSilentVoter(Context);
 }
 
+bool MembershipController::dismissFounder(ControlContext &Context) {
+  const std::vector<ControlMember> &Voters = m_Board.m_Membership.m_Voters;
+  auto Durable = static_cast<size_t>(std::count_if(
+      Voters.begin(), Voters.end(),
+      [](const ControlMember &Voter) { return Voter.m_IsDurable; }));
+  Duration Needed = Durable >= m_MinVoters ? kDescriptionTime : kFoundingTime;
+  if (Durable == 0 || Durable == Voters.size() ||
+      Context.m_Now - m_Board.m_LeaderSince < Needed)
+    return false;
+  if (!m_Board.m_Self.m_IsDurable) {
+    Context.m_Log.transferLeadership(Context.m_Now);
+    return true;
+  }
+  for (const ControlMember &Voter : Voters) {
+    if (Voter.m_IsDurable || Voter.m_Id == m_Board.m_Self.m_Id)
+      continue;
+    Membership Target = m_Board.m_Membership;
+    std::string Description =
+        "remove founder without a disk: " + describeMember(Voter);
+    removeMember(Target.m_Voters, Voter.m_Id);
+    propose(Target, Description, Context);
+    return true;
+  }
+  return false;
+}
+
 bool MembershipController::removeSilentVoter(ControlContext &Context) {
   const std::vector<ControlMember> &Voters = m_Board.m_Membership.m_Voters;
-  if (Voters.size() <= kMinVoters ||
+  if (Voters.size() <= m_MinVoters ||
       Context.m_Now - m_Board.m_LeaderSince < kVoterSilence)
     return false;
   for (const ControlMember &Voter : Voters) {
--- a/src/decision/control/MembershipController.h
+++ b/src/decision/control/MembershipController.h
@@ -12,9 +12,10 @@
 public:
   static constexpr size_t kMaxVoters = 7;
 
+  /// Silent voters stay when fewer than MinVoters would be left.
   MembershipController(const ControlBlackboard &Board,
-                       ChangeController &Changes)
-      : m_Board(Board), m_Changes(Changes) {}
+                       ChangeController &Changes, size_t MinVoters)
+      : m_Board(Board), m_Changes(Changes), m_MinVoters(MinVoters) {}
 
   void onJoinRequest(const JoinRequest &Request, ControlContext &Context);
   void onRemove(const OperatorRemoveMember &Event, ControlContext &Context);
@@ -26,10 +27,13 @@
                ControlContext &Context);
   bool replaceOldIdentifier(ControlContext &Context);
   bool promoteLearner(ControlContext &Context);
+  /// Removes founders without a disk once hosts with one have joined.
+  bool dismissFounder(ControlContext &Context);
   bool removeSilentVoter(ControlContext &Context);
 
   const ControlBlackboard &m_Board;
   ChangeController &m_Changes;
+  size_t m_MinVoters;
   Time m_SteppedAt;
 };
 
--- a/src/decision/control/PeerLinks.cpp
+++ b/src/decision/control/PeerLinks.cpp
@@ -36,11 +36,15 @@
   Actions.push_back(OpenLink{*Peer.m_Link, Endpoint});
 }
 
+bool PeerLinks::isUp(const Endpoint &Peer) const {
+  auto Found = m_Peers.find(Peer);
+  return Found != m_Peers.end() && Found->second.m_IsUp;
+}
+
 void PeerLinks::send(const Endpoint &Peer, const Message &Message,
                      ControlActions &Actions) const {
-  auto Found = m_Peers.find(Peer);
-  if (Found != m_Peers.end() && Found->second.m_IsUp)
-    Actions.push_back(SendMessage{*Found->second.m_Link, Message});
+  if (isUp(Peer))
+    Actions.push_back(SendMessage{*m_Peers.at(Peer).m_Link, Message});
 }
 
 void PeerLinks::sendToAll(const Message &Message,
--- a/src/decision/control/PeerLinks.h
+++ b/src/decision/control/PeerLinks.h
@@ -17,6 +17,7 @@
   /// as the sender repeats it.
   void send(const Endpoint &Peer, const Message &Message,
             ControlActions &Actions) const;
+  bool isUp(const Endpoint &Peer) const;
   void sendToAll(const Message &Message, ControlActions &Actions) const;
   void onOpened(LinkId Link, Time Now);
   void onClosed(LinkId Link, Time Now);
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -53,6 +53,10 @@
 void ConfigurationController::changeHost(Time Now) {
   m_Links.release(current(), LinkUse::Poll);
   m_Current = (m_Current + 1) % m_Peers.size();
+  beginAtCurrent(Now);
+}
+
+void ConfigurationController::beginAtCurrent(Time Now) {
   m_WaitingSince = Now;
   m_LastHostChange = Now;
   m_PolledLink.reset();
@@ -103,6 +107,19 @@
                           : Answered.m_SentAt;
 }
 
+void ConfigurationController::onMembers(LinkId Link, const MembersReply &Reply,
+                                        Time Now) {
+  if (m_PolledLink != Link || Reply.m_Voters.empty())
+    return;
+  m_Links.release(current(), LinkUse::Poll);
+  m_Peers.clear();
+  for (const ControlMember &Member : Reply.m_Voters)
+    m_Peers.push_back(Member.m_Peer);
+  // Proxies turn to different members, as at the start.
+  m_Current = m_Incarnation % m_Peers.size();
+  beginAtCurrent(Now);
+}
+
 bool ConfigurationController::applyChanges(const Poll &Answered,
                                            const PollReply &Reply) {
   if (m_NeedsSnapshot)
--- a/src/decision/proxy/ConfigurationController.h
+++ b/src/decision/proxy/ConfigurationController.h
@@ -21,6 +21,8 @@
 
   void tick(Time Now);
   void onReply(LinkId Link, const PollReply &Reply, Time Now);
+  /// Turns to the members when the polled host is none of them.
+  void onMembers(LinkId Link, const MembersReply &Reply, Time Now);
   /// Returns whether the configuration or the live hosts changed since the
   /// last call.
   bool takeChanged();
@@ -42,6 +44,7 @@
   const Endpoint &current() const { return m_Peers[m_Current]; }
   void changeHost(Time Now);
   void sendPoll(LinkId Link, Time Now);
+  void beginAtCurrent(Time Now);
   void learnMembers(const PollReply &Reply);
   void learnLiveHosts(const PollReply &Reply);
   void learnDirectory(const PollReply &Reply);
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -75,6 +75,8 @@
     const Message &Received = Event.m_Message;
     if (const PollReply *Reply = std::get_if<PollReply>(&Received))
       onPollReply(Event.m_Link, *Reply, Now);
+    else if (const MembersReply *Members = std::get_if<MembersReply>(&Received))
+      m_Configuration.onMembers(Event.m_Link, *Members, Now);
     else if (const TokenGrant *Grant = std::get_if<TokenGrant>(&Received))
       m_Tokens.onGrant(Event.m_Link, *Grant, Now);
     else if (const Ping *Alive = std::get_if<Ping>(&Received))
--- a/tests/control/Simulation.h
+++ b/tests/control/Simulation.h
@@ -53,6 +53,12 @@
     return Simulation(Founders, Joining);
   }
 
+  /// Hosts with or without a disk. The first three are the founders, which
+  /// know one another by address only, and the seeds of all.
+  static Simulation seeded(const std::vector<bool> &HasDisk) {
+    return Simulation(HasDisk);
+  }
+
   explicit Simulation(size_t ControlHosts) {
     for (size_t Index = 0; Index < ControlHosts; ++Index)
       addControl(HostName{"c" + std::to_string(Index)});
@@ -80,10 +86,21 @@
     Options.m_ClusterId = Control.m_ClusterId;
     Options.m_Log = Control.m_Disk;
     Options.m_Seed = ++m_Seed;
-    Options.m_JoinPeers = {m_Controls[0].m_Member.m_Peer};
+    for (size_t Seed = 0; Seed < m_SeedCount; ++Seed)
+      Options.m_JoinPeers.push_back(m_Controls[Seed].m_Member.m_Peer);
+    Options.m_LostDisksBorne = m_LostDisksBorne;
     Control.m_Core = std::make_unique<ControlCore>(Options, m_Now);
   }
 
+  /// Stops a host, which later starts with nothing and founds nothing.
+  void stopAndWipe(size_t Index) {
+    stop(Index);
+    SimulatedControl &Control = m_Controls[Index];
+    Control.m_Disk = {};
+    Control.m_ClusterId = 0;
+    Control.m_Member.m_Id = MemberId{Control.m_Member.m_Id.m_Value + 1'000};
+  }
+
   void stop(size_t Index) {
     m_Controls[Index].m_Core.reset();
     for (auto It = m_Links.begin(); It != m_Links.end();) {
@@ -333,6 +350,8 @@
       m_GroupAnswer;
   std::function<void(size_t Control)> m_AfterEvent;
   bool m_Announces = false;
+  size_t m_SeedCount = 1;
+  size_t m_LostDisksBorne = 1;
   /// Successful promotions: instances by term.
   std::map<uint64_t, std::set<InstanceName>> m_Promoted;
 
@@ -349,6 +368,26 @@
     }
   }
 
+  explicit Simulation(const std::vector<bool> &HasDisk) {
+    m_SeedCount = std::min<size_t>(3, HasDisk.size());
+    std::vector<ControlMember> Listed;
+    for (size_t Index = 0; Index < HasDisk.size(); ++Index) {
+      ControlMember &Member =
+          m_Controls[addControl(HostName{"c" + std::to_string(Index)})]
+              .m_Member;
+      if (Index < m_SeedCount) {
+        Listed.push_back(Member);
+        Listed.back().m_Zone = {};
+        Listed.back().m_IsDurable = false;
+      }
+      Member.m_IsDurable = HasDisk[Index];
+    }
+    for (size_t Index = 0; Index < m_SeedCount; ++Index) {
+      m_Controls[Index].m_Disk = makeInitialLog(Listed);
+      m_Controls[Index].m_ClusterId = kClusterId;
+    }
+  }
+
   using End = std::pair<size_t, LinkId>;
 
   void later(std::function<void()> Action, Duration After = milliseconds(1)) {
