Prefer instances and control hosts of the own zone

Change: an instance of another zone counts 8 ms more when an instance is chosen, so load still spreads; a proxy polls a control host of its zone once the members are known, and tries a lost one again after 10 s.

--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -10,6 +10,10 @@
 static constexpr Duration kMinHostChangeInterval =
     std::chrono::milliseconds(50);
 
+/// A proxy turns to a control host of its own zone, whose links are short and
+/// not paid for, but not again and again to one that does not answer.
+static constexpr Duration kZoneRetryInterval = std::chrono::seconds(10);
+
 ConfigurationController::ConfigurationController(const ProxyOptions &Options,
                                                  ProxyBlackboard &Board,
                                                  LinkTable &Links,
@@ -108,6 +112,7 @@
   m_Board.m_FreshAt = m_Board.m_FreshAt
                           ? std::max(*m_Board.m_FreshAt, Answered.m_SentAt)
                           : Answered.m_SentAt;
+  preferOwnZone(Now);
 }
 
 void ConfigurationController::onMembers(LinkId Link, const MembersReply &Reply,
@@ -115,8 +120,9 @@
   if (m_PolledLink != Link || Reply.m_Voters.empty())
     return;
   m_Links.release(current(), LinkUse::Poll);
+  m_Members = Reply.m_Voters;
   m_Peers.clear();
-  for (const ControlMember &Member : Reply.m_Voters)
+  for (const ControlMember &Member : m_Members)
     m_Peers.push_back(Member.m_Peer);
   // Proxies turn to different members, as at the start.
   m_Current = m_Incarnation % m_Peers.size();
@@ -223,6 +229,27 @@
   m_Peers = std::move(Peers);
 }
 
+void ConfigurationController::preferOwnZone(Time Now) {
+  auto IsNear = [&](const ControlMember &Member) {
+    return Member.m_Zone == m_Host.m_Zone;
+  };
+  auto IsPolled = [&](const ControlMember &Member) {
+    return Member.m_Peer == current();
+  };
+  bool IsDue = !m_ZoneTriedAt || Now - *m_ZoneTriedAt >= kZoneRetryInterval;
+  auto Near = std::find_if(m_Members.begin(), m_Members.end(), IsNear);
+  auto Polled = std::find_if(m_Members.begin(), m_Members.end(), IsPolled);
+  if (!IsDue || Near == m_Members.end() ||
+      (Polled != m_Members.end() && IsNear(*Polled)))
+    return;
+  m_ZoneTriedAt = Now;
+  m_Links.release(current(), LinkUse::Poll);
+  m_Current = static_cast<size_t>(
+      std::find(m_Peers.begin(), m_Peers.end(), Near->m_Peer) -
+      m_Peers.begin());
+  beginAtCurrent(Now);
+}
+
 std::vector<Endpoint> ConfigurationController::heartbeatPeers() const {
   return m_Leader ? std::vector<Endpoint>{*m_Leader} : m_Peers;
 }
--- a/src/decision/proxy/ConfigurationController.h
+++ b/src/decision/proxy/ConfigurationController.h
@@ -50,6 +50,8 @@
   void beginAtCurrent(Time Now);
   void learnMembers(const PollReply &Reply);
   void adoptPeers();
+  /// Polls a control host of the own zone, when there is one.
+  void preferOwnZone(Time Now);
   void learnLiveHosts(const PollReply &Reply);
   void learnDirectory(const PollReply &Reply);
   /// Each returns whether the configuration now holds what the reply proves.
@@ -63,6 +65,7 @@
   ProxyActions &m_Actions;
   std::vector<Endpoint> m_Peers;
   bool m_WantsLiveHosts;
+  std::optional<Time> m_ZoneTriedAt;
   /// Members as the last reply listed them.
   std::vector<ControlMember> m_Members;
   size_t m_Current = 0;
--- a/src/decision/proxy/ProxyEvents.h
+++ b/src/decision/proxy/ProxyEvents.h
@@ -177,6 +177,9 @@
 /// State shared by the controllers of a proxy. Each section is written by the
 /// controller named there.
 struct ProxyBlackboard {
+  /// Written by the core: where this host is.
+  AvailabilityZone m_Zone;
+
   /// Written by the configuration controller.
   Configuration m_Configuration;
   uint64_t m_AppliedIndex = 0;
--- a/src/decision/session/InstanceChooser.cpp
+++ b/src/decision/session/InstanceChooser.cpp
@@ -15,6 +15,9 @@
 /// Writes need the primary, so a read that a replica can serve prefers the
 /// replica unless it is this much busier.
 constexpr double kPrimaryReadCost = 2.5;
+/// Statements to another zone take a round trip longer and use links that are
+/// paid for, so a little more load in the own zone is accepted.
+constexpr double kOtherZoneMs = 8;
 /// An instance that failed the statement is chosen again only when no other one
 /// can run it: above any latency.
 constexpr double kTriedMs = 1'000;
@@ -76,6 +79,29 @@
   return Result;
 }
 
+double InstanceChooser::costOf(const CallerSession &Session,
+                               const InstanceDescription &Instance,
+                               bool IsPrimary) {
+  const InstanceView &View = m_Views.viewOf(Instance.m_Name);
+  double Latency = View.m_LatencyMs == 0 ? kUnknownLatencyMs : View.m_LatencyMs;
+  double Cost =
+      Latency * static_cast<double>(m_Pool.busyAt(Instance.m_Name) + 1);
+  InstancePool::Availability Place =
+      m_Pool.availability(Instance.m_Name, Session.m_Organisation);
+  if (Place == InstancePool::Availability::Replace)
+    Cost += kReplacedConnectionMs;
+  if (Place == InstancePool::Availability::New)
+    Cost += kFirstConnectionMs;
+  if (Instance.m_Zone != m_Board.m_Zone)
+    Cost += kOtherZoneMs;
+  if (IsPrimary)
+    Cost *= kPrimaryReadCost;
+  // Another instance is tried first after a failure.
+  if (Session.m_Task->m_Tried.contains(Instance.m_Name))
+    Cost += kTriedMs;
+  return Cost;
+}
+
 const InstanceDescription *InstanceChooser::choose(const CallerSession &Session,
                                                    const Requirement &Needed,
                                                    Time Now) {
@@ -88,26 +114,12 @@
   const InstanceDescription *Best = nullptr;
   double BestCost = 0;
   for (const InstanceDescription *Instance : m_Views.readyMembers(Database)) {
-    const InstanceView &View = m_Views.viewOf(Instance->m_Name);
     bool IsPrimary = Instance == Primary;
-    if ((!IsPrimary && Now < View.m_LaggingUntil) ||
-        !hasPlace(Session, *Instance, Now))
+    bool IsLagging =
+        !IsPrimary && Now < m_Views.viewOf(Instance->m_Name).m_LaggingUntil;
+    if (IsLagging || !hasPlace(Session, *Instance, Now))
       continue;
-    InstancePool::Availability Place =
-        m_Pool.availability(Instance->m_Name, Session.m_Organisation);
-    double Latency =
-        View.m_LatencyMs == 0 ? kUnknownLatencyMs : View.m_LatencyMs;
-    double Cost =
-        Latency * static_cast<double>(m_Pool.busyAt(Instance->m_Name) + 1);
-    if (Place == InstancePool::Availability::Replace)
-      Cost += kReplacedConnectionMs;
-    if (Place == InstancePool::Availability::New)
-      Cost += kFirstConnectionMs;
-    if (IsPrimary)
-      Cost *= kPrimaryReadCost;
-    // Another instance is tried first after a failure.
-    if (Session.m_Task->m_Tried.contains(Instance->m_Name))
-      Cost += kTriedMs;
+    double Cost = costOf(Session, *Instance, IsPrimary);
     if (Best != nullptr && Cost >= BestCost)
       continue;
     Best = Instance;
--- a/src/decision/session/InstanceChooser.h
+++ b/src/decision/session/InstanceChooser.h
@@ -15,8 +15,9 @@
 /// Session.m_Task is set in all sessions passed to it.
 class InstanceChooser {
 public:
-  InstanceChooser(GroupViews &Views, const InstancePool &Pool)
-      : m_Views(Views), m_Pool(Pool) {}
+  InstanceChooser(const ProxyBlackboard &Board, GroupViews &Views,
+                  const InstancePool &Pool)
+      : m_Board(Board), m_Views(Views), m_Pool(Pool) {}
 
   Requirement requirementOf(const CallerSession &Session) const;
   /// Returns the instance with the lowest expected cost that takes another
@@ -31,6 +32,11 @@
   bool hasPlace(const CallerSession &Session,
                 const InstanceDescription &Instance, Time Now);
 
+  /// Expected cost of another statement there, in milliseconds.
+  double costOf(const CallerSession &Session,
+                const InstanceDescription &Instance, bool IsPrimary);
+
+  const ProxyBlackboard &m_Board;
   GroupViews &m_Views;
   const InstancePool &m_Pool;
 };
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -27,7 +27,9 @@
         m_Configuration(m_Options, m_Board, m_Links, m_ControlActions),
         m_Heartbeat(Options.m_Host.m_Name, m_Board, m_ControlActions),
         m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions, &m_Board),
-        m_Sessions(Limits, m_Board, m_Tokens, m_Actions), m_LastHandled(Now) {}
+        m_Sessions(Limits, m_Board, m_Tokens, m_Actions), m_LastHandled(Now) {
+    m_Board.m_Zone = Options.m_Host.m_Zone;
+  }
 
   /// Sessions use connections of their own host, whose share follows from the
   /// registered hosts.
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -21,7 +21,8 @@
   StatementExecutor(ProxyBlackboard &Board, SessionTable &Sessions,
                     SessionActions &Actions)
       : m_Board(Board), m_Sessions(Sessions), m_Actions(Actions),
-        m_Views(Board), m_Pool(Board, Actions), m_Chooser(m_Views, m_Pool) {}
+        m_Views(Board), m_Pool(Board, Actions),
+        m_Chooser(Board, m_Views, m_Pool) {}
 
   /// Runs Session.m_Task, which is set.
   void submit(CallerSession &Session, Time Now);
--- a/tests/session/LoadTest.cpp
+++ b/tests/session/LoadTest.cpp
@@ -111,3 +111,37 @@
   CHECK(Host.m_Refused.at(Host.open("none")) == SessionError::UnknownDatabase);
   CHECK(Host.m_Accepted.contains(Host.open("own")));
 }
+
+TEST_CASE("session load: reads stay in the own zone until an instance there is "
+          "busier than others") {
+  // Pattern: a replica in every zone, light load, then a crowd at one host.
+  // Reads at any replica sent two thirds of the answers through other zones.
+  SessionHost Host(1, 40);
+  Host.member(0).m_Description.m_Zone = AvailabilityZone{"y"};
+  Host.member(1).m_Description.m_Zone = AvailabilityZone{"x"};
+  Host.member(2).m_Description.m_Zone = AvailabilityZone{"z"};
+  Host.publish();
+  Host.run(milliseconds(600));
+  SessionId Reader = Host.open("aged");
+  REQUIRE(!Host.ask(Reader, SessionHost::read()).m_Error);
+  auto ReadsAt = [&](size_t Index) {
+    const std::vector<Statement> &Received = Host.member(Index).m_Received;
+    return std::count_if(Received.begin(), Received.end(),
+                         [](const Statement &Sent) {
+                           return Sent.m_Kind == StatementKind::Read;
+                         });
+  };
+  auto Before = ReadsAt(1);
+  for (int Count = 0; Count < 20; ++Count)
+    REQUIRE(!Host.ask(Reader, SessionHost::read()).m_Error);
+  CHECK(ReadsAt(2) >= 20);
+  CHECK(ReadsAt(1) == Before);
+  std::vector<SessionId> Crowd;
+  Crowd.reserve(12);
+  for (int Count = 0; Count < 12; ++Count)
+    Crowd.push_back(Host.open("aged"));
+  for (SessionId Session : Crowd)
+    Host.send(Session, SessionHost::read());
+  Host.run(milliseconds(300));
+  CHECK(ReadsAt(1) > Before);
+}
