Count a connection that has to be replaced at its cost

Cause: the pool answered New where it had to close another organisation's connection, against its own description, so the chooser counted 3 ms instead of 14.

Change: the pool says Replace when it is full and has an idle connection.

Kept for agreement with the contract.

--- a/src/decision/session/InstancePool.cpp
+++ b/src/decision/session/InstancePool.cpp
@@ -63,9 +63,9 @@
       return Availability::Idle;
     HasIdle = true;
   }
-  if (HasIdle || Database == nullptr || Ids->second.size() < shareOf(*Database))
+  if (Database == nullptr || Ids->second.size() < shareOf(*Database))
     return Availability::New;
-  return Availability::None;
+  return HasIdle ? Availability::Replace : Availability::None;
 }
 
 InstanceConnection *InstancePool::acquire(
