--- a/src/decision/session/InstanceChooser.cpp
+++ b/src/decision/session/InstanceChooser.cpp
@@ -53,12 +53,6 @@
              InstancePool::Availability::None;
 }
 
-bool InstanceChooser::isServing(const DatabaseName &Database, Time Now) {
-  const InstanceDescription *Primary = m_Views.primaryOf(Database, Now);
-  return Primary != nullptr &&
-         !m_Views.viewOf(Primary->m_Name).m_FailingSince.has_value();
-}
-
 std::string InstanceChooser::describeWait(const CallerSession &Session,
                                           Time Now) {
   Requirement Needed = requirementOf(Session);
--- a/src/decision/session/InstanceChooser.h
+++ b/src/decision/session/InstanceChooser.h
@@ -24,8 +24,6 @@
   /// statement now, or null.
   const InstanceDescription *choose(const CallerSession &Session,
                                     const Requirement &Needed, Time Now);
-  /// Whether the primary is known and reachable.
-  bool isServing(const DatabaseName &Database, Time Now);
   /// What stands against each instance that could run the task, for the log.
   std::string describeWait(const CallerSession &Session, Time Now);
 
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -484,7 +484,7 @@
   for (auto &[Id, Session] : m_Sessions) {
     if (Session.m_Task && !Session.m_Task->m_IsWaitingForToken &&
         (Now >= Session.m_Task->m_Deadline ||
-         m_Executor.hasWaitedEnough(Session, Now)))
+         StatementExecutor::hasWaitedEnough(Session, Now)))
       GivenUp.push_back({Session.m_Id, m_Executor.giveUp(Session, Now)});
     else if (!Session.m_Task && Session.m_State == TransactionState::Open &&
              Now - Session.m_LastActive >= IdleLimit)
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -19,14 +19,6 @@
 /// that its caller can still come back in time.
 constexpr int kWaitShareDivisor = 5;
 constexpr int kWaitShareFactor = 2;
-/// A queue that did not empty for so long does not come from uneven arrivals:
-/// the group has less capacity than load.
-constexpr Duration kStandingQueue = milliseconds(300);
-/// In a standing queue, a statement that found no instance in this part of its
-/// target is refused, so that those served are served in time and the others
-/// learn early that they must come back. While a primary is replaced, waiting
-/// is better, because the queue ends at once with the replacement.
-constexpr int kStandingQueueDivisor = 4;
 /// Pause before the second and later attempts, times the number of attempts.
 constexpr Duration kRetryPause = milliseconds(8);
 /// An instance that sent nothing for so long while a statement waits is taken
@@ -65,13 +57,6 @@
   const Task &Task = *Session.m_Task;
   Duration Limit = milliseconds(Session.m_Policy.m_StatementTimeoutMs) *
                    kWaitShareFactor / kWaitShareDivisor;
-  Duration Target = milliseconds(Session.m_Policy.m_TargetLatencyMs);
-  auto Queued = m_QueuedSince.find(Session.m_Policy.m_Database);
-  bool IsStanding = Queued != m_QueuedSince.end() &&
-                    Now - Queued->second >= kStandingQueue;
-  if (IsStanding && Target > Duration::zero() &&
-      m_Chooser.isServing(Session.m_Policy.m_Database, Now))
-    Limit = std::min(Limit, Target / kStandingQueueDivisor);
   return Task.m_IsWaitingForInstance && Now - Task.m_WaitingSince >= Limit;
 }
 
@@ -98,13 +83,11 @@
   Session.m_Task->m_IsWaitingForInstance = true;
   Session.m_Task->m_WaitingSince = Now;
   m_Waiting.push_back(Session.m_Id);
-  m_QueuedSince.try_emplace(Session.m_Policy.m_Database, Now);
 }
 
 void StatementExecutor::dispatchWaiting(Time Now) {
   std::deque<SessionId> Still;
   std::swap(Still, m_Waiting);
-  std::set<DatabaseName> Queued;
   for (SessionId Id : Still) {
     auto Found = m_Sessions.find(Id.m_Value);
     if (Found == m_Sessions.end() || !Found->second.m_Task ||
@@ -116,11 +99,7 @@
       continue;
     Session.m_Task->m_IsWaitingForInstance = true;
     m_Waiting.push_back(Id);
-    Queued.insert(Session.m_Policy.m_Database);
   }
-  std::erase_if(m_QueuedSince, [&](const auto &Entry) {
-    return !Queued.contains(Entry.first);
-  });
 }
 
 bool StatementExecutor::dispatch(CallerSession &Session, Time Now) {
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -41,7 +41,7 @@
   void dispatchWaiting(Time Now);
   void tick(Time Now);
   /// Whether a waiting task has waited as long as it may before it is refused.
-  bool hasWaitedEnough(const CallerSession &Session, Time Now);
+  static bool hasWaitedEnough(const CallerSession &Session, Time Now);
   std::vector<Finished> takeFinished() { return std::exchange(m_Finished, {}); }
 
   const InstancePool &pool() const { return m_Pool; }
@@ -91,8 +91,6 @@
   InstanceChooser m_Chooser;
   /// Sessions whose task waits for a connection, in order of arrival.
   std::deque<SessionId> m_Waiting;
-  /// Databases with waiting statements, and since when without a break.
-  std::map<DatabaseName, Time> m_QueuedSince;
   std::vector<Finished> m_Finished;
   Time m_TrimmedAt;
   Time m_ReportedAt;
