Leave the leader out of what a relay answers

Cause: reading the diff. Relays whose seeds are relays ask one another when no member answers, and each answer counted as a confirmation of the leader.

Change: a relay answers with the members only.

The new test passes before the change as well, because the relays forget the leader within 500 ms of one another; it stays as a guard.

--- a/src/decision/control/ControlRelay.cpp
+++ b/src/decision/control/ControlRelay.cpp
@@ -25,8 +25,12 @@
     return passOn(Received, Actions);
   bool IsQuestion = std::holds_alternative<PollRequest>(Received) ||
                     std::holds_alternative<MembersRequest>(Received);
-  if (IsQuestion && !m_Board.m_Membership.m_Voters.empty())
-    Actions.push_back(SendMessage{Link, describeMembers(m_Board)});
+  if (!IsQuestion || m_Board.m_Membership.m_Voters.empty())
+    return;
+  // Relays that confirm a leader to one another would never forget it.
+  MembersReply Reply = describeMembers(m_Board);
+  Reply.m_Leader = {};
+  Actions.push_back(SendMessage{Link, std::move(Reply)});
 }
 
 void ControlRelay::onCheckIn(const InstanceCheckedIn &Event,
--- a/tests/control/FoundingTest.cpp
+++ b/tests/control/FoundingTest.cpp
@@ -159,6 +159,18 @@
   CHECK(Sim.runUntil([&] { return Sim.m_Controls[3].m_Core->isReady(); }));
 }
 
+TEST_CASE("relay: relays that are cut off from the members forget the leader") {
+  // Relays whose seeds are relays ask one another; an old answer went round.
+  Simulation Sim = Simulation::seeded({false, false, false, true, true, true});
+  startAll(Sim);
+  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  for (size_t Index = 3; Index < 6; ++Index)
+    Sim.m_Controls[Index].m_IsIsolated = true;
+  Sim.run(std::chrono::seconds(6));
+  for (size_t Index = 0; Index < 3; ++Index)
+    CHECK(!Sim.m_Controls[Index].m_Core->isReady());
+}
+
 TEST_CASE("relay: a host with an empty disk joins through seeds that only "
           "relay") {
   // Pattern: a control machine is replaced at another address, and its seeds
