Read the flags of random-owner with Abseil

Cause: the tool parsed '--seed N' itself and ignored '--seed=N', which scripts/random-faults passes, so the script always ran seeds 1 to 100 with 2,000 steps and said nothing. Unknown flags were ignored too.

Change: Abseil flags, as in the other tools; an unknown flag ends it with status 1 and its name.

--- a/tools/random-owner.cpp
+++ b/tools/random-owner.cpp
@@ -1,26 +1,23 @@
 /// \file
 /// Runs random requests and faults against the owner side until a promise is
-/// broken. Usage: random-owner [--seed N] [--runs N] [--steps N]
+/// broken, and prints the seeds of runs that broke one.
 #include "owner/RandomOwner.h"
 
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
 #include <cstdio>
-#include <cstdlib>
-#include <cstring>
 #include <exception>
 
+ABSL_FLAG(uint64_t, seed, 1, "seed of the first run");
+ABSL_FLAG(uint64_t, runs, 100, "number of runs, each with the next seed");
+ABSL_FLAG(int, steps, 2'000, "steps with faults per run");
+
 int main(int Count, char **Arguments) {
-  uint64_t Seed = 1;
-  uint64_t Runs = 100;
-  int Steps = 2'000;
-  for (int Index = 1; Index + 1 < Count; Index += 2) {
-    uint64_t Value = std::strtoull(Arguments[Index + 1], nullptr, 10);
-    if (std::strcmp(Arguments[Index], "--seed") == 0)
-      Seed = Value;
-    else if (std::strcmp(Arguments[Index], "--runs") == 0)
-      Runs = Value;
-    else if (std::strcmp(Arguments[Index], "--steps") == 0)
-      Steps = static_cast<int>(Value);
-  }
+  absl::ParseCommandLine(Count, Arguments);
+  uint64_t Seed = absl::GetFlag(FLAGS_seed);
+  uint64_t Runs = absl::GetFlag(FLAGS_runs);
+  int Steps = absl::GetFlag(FLAGS_steps);
   size_t Acknowledged = 0;
   size_t Unknown = 0;
   size_t Reads = 0;
