--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -620,12 +620,117 @@
   }
 };
 
+// Messages between the session proxies of an entry host and of the owner of a
+// database group.
+
+/// A session's statement, sent to the owner of its database group, together
+/// with the state that its connection needs: session variables, the prepared
+/// statement that it executes, and the transaction that it belongs to.
+struct ForwardedStatement {
+  /// Identifies the statement on its link.
+  uint64_t m_Sequence = 0;
+  /// Session of the sender; identifies the open transaction on its link.
+  uint64_t m_Session = 0;
+  DatabaseName m_Database;
+  OrganisationName m_Organisation;
+  /// Request of the caller, for the logs of both hosts.
+  std::string m_RequestId;
+  /// Value of StatementKind: read, write, execute or commit.
+  uint8_t m_Kind = 0;
+  /// The executed prepared statement writes.
+  bool m_IsWrite = false;
+  /// Name under which the session prepared the executed statement.
+  std::string m_Name;
+  std::string m_Argument;
+  /// Template of the executed prepared statement.
+  std::string m_Template;
+  std::string m_Text;
+  /// Value of StatementTarget.
+  uint8_t m_Target = 0;
+  uint32_t m_MaxReadAgeMs = 0;
+  /// Log position of the session's last commit.
+  Position m_LastCommit;
+  /// Time since the statement reached the sender, or since its transaction
+  /// began.
+  uint32_t m_AgeMs = 0;
+  /// Time until the owner must have replied.
+  uint32_t m_TimeLeftMs = 0;
+  /// Statement timeout of the route.
+  uint32_t m_TimeoutMs = 0;
+  bool m_IsTransaction = false;
+  bool m_IsReadOnly = false;
+  /// The owner has already executed a statement of the transaction.
+  bool m_IsContinued = false;
+  /// The caller's BEGIN; only in the first statement of a transaction.
+  std::string m_BeginRequestId;
+  std::string m_BeginText;
+  std::map<std::string, std::string> m_Variables;
+
+  friend auto operator<=>(const ForwardedStatement &,
+                          const ForwardedStatement &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Sequence, m_Session, m_Database, m_Organisation, m_RequestId, m_Kind,
+       m_IsWrite, m_Name, m_Argument, m_Template, m_Text, m_Target,
+       m_MaxReadAgeMs, m_LastCommit, m_AgeMs, m_TimeLeftMs, m_TimeoutMs,
+       m_IsTransaction, m_IsReadOnly, m_IsContinued, m_BeginRequestId,
+       m_BeginText, m_Variables);
+  }
+};
+/// The owner's reply to a ForwardedStatement.
+struct ForwardedStatementReply {
+  uint64_t m_Sequence = 0;
+  std::vector<std::string> m_Rows;
+  std::string m_Receipt;
+  /// Value of SessionError.
+  std::optional<uint8_t> m_Error;
+  std::string m_ErrorText;
+  /// Value of TransactionState.
+  uint8_t m_State = 0;
+  std::optional<Position> m_Position;
+  /// Log position of the session's last commit, including this statement.
+  Position m_LastCommit;
+  /// The statement was not executed because the owner cannot reach an instance
+  /// that may run it; another host may be able to.
+  bool m_IsUnreachable = false;
+
+  friend auto operator<=>(const ForwardedStatementReply &,
+                          const ForwardedStatementReply &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Sequence, m_Rows, m_Receipt, m_Error, m_ErrorText, m_State, m_Position,
+       m_LastCommit, m_IsUnreachable);
+  }
+};
+/// The sender no longer waits for a statement of the session, or its
+/// transaction has ended without a commit. The owner drops the statement if it
+/// is still queued, and rolls back the transaction.
+struct ForwardedSessionEnd {
+  uint64_t m_Session = 0;
+
+  friend auto operator<=>(const ForwardedSessionEnd &,
+                          const ForwardedSessionEnd &) = default;
+  template <typename Archive> void serialize(Archive &Ar) { Ar(m_Session); }
+};
+/// Sent by a session proxy on each link that it accepts, and again when it
+/// changes. Hosts of earlier versions do not send it, so they are sent no
+/// statements.
+struct OwnerStatus {
+  /// The host starts new transactions and single statements for others.
+  bool m_AcceptsStatements = false;
+
+  friend auto operator<=>(const OwnerStatus &, const OwnerStatus &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_AcceptsStatements);
+  }
+};
+
 using Message =
     std::variant<Ping, ConsensusMessage, ReadIndexRequest, ReadIndexReply,
                  JoinRequest, ProposeRequest, ProposeReply, RelayAnnouncement,
                  PollRequest, PollReply, TokenRequest, TokenGrant, TokenReturn,
                  Heartbeat, HeartbeatNonce, ForwardRequest, ForwardReply,
-                 ForwardCancel, InstanceCheckIn, MembersRequest, MembersReply>;
+                 ForwardCancel, InstanceCheckIn, MembersRequest, MembersReply,
+                 ForwardedStatement, ForwardedStatementReply,
+                 ForwardedSessionEnd, OwnerStatus>;
 
 /// Returns a hash to compare lists of members; never 0.
 uint64_t digestOf(const std::vector<ControlMember> &Members);
--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -16,6 +16,9 @@
 constexpr uint32_t kUnreachableThresholdMs = 450;
 /// Heartbeats renew the reports every 250 ms.
 constexpr Duration kReportValidity = milliseconds(800);
+/// Shorter than kReportValidity, so that the answers of a primary that is still
+/// reported never become outdated.
+constexpr Duration kPrimaryCheckInterval = milliseconds(200);
 /// Two check-in intervals and a retry. A primary that has not checked in for
 /// this time is lost as soon as one host reports it as unreachable.
 constexpr Duration kCheckInTimeout = milliseconds(3'000);
@@ -45,6 +48,7 @@
 void PromotionController::enterStep(Group &Group, Step Step, Time Now) {
   Group.m_Step = Step;
   Group.m_StepStartedAt = Now;
+  Group.m_PrimaryCheck = PrimaryCheck();
 }
 
 void PromotionController::endAttempt(Group &Group, Duration Delay, Time Now) {
@@ -100,7 +104,7 @@
   switch (Group.m_Step) {
   case Step::Monitor:
     if (std::optional<std::string> Reason =
-            promotionReason(Group, Name, Members, Context.m_Now))
+            promotionReason(Group, Name, Members, Context))
       startAttempt(Group, Name, Members, *Reason, Context);
     return;
   case Step::ReadPositions:
@@ -112,43 +116,94 @@
   }
 }
 
-bool PromotionController::isReportedUnreachable(
-    const DatabaseName &Name, const InstanceDescription &Primary,
-    Time Now) const {
-  size_t UnreachableReports = 0;
-  size_t LiveHosts = 0;
+PromotionController::ReportSummary
+PromotionController::summariseReports(const DatabaseName &Name,
+                                      const InstanceDescription &Primary,
+                                      Time Now) const {
+  ReportSummary Result;
   for (const auto &[Host, Health] : m_Board.m_Health) {
     if (Now - Health.m_HeardAt >= kReportValidity)
       continue;
-    ++LiveHosts;
-    UnreachableReports +=
-        std::any_of(Health.m_Reports.begin(), Health.m_Reports.end(),
-                    [&](const ReceivedReport &Received) {
-                      const InstanceReport &Report = Received.m_Report;
-                      return Report.m_Database == Name &&
-                             Report.m_Instance == Primary.m_Name &&
-                             Report.m_UnreachableMs >=
-                                 kUnreachableThresholdMs &&
-                             Now - Received.m_ReceivedAt < kReportValidity;
-                    })
-            ? 1
-            : 0;
+    ++Result.m_LiveHosts;
+    uint32_t LongestMs = 0;
+    for (const ReceivedReport &Received : Health.m_Reports) {
+      const InstanceReport &Report = Received.m_Report;
+      if (Report.m_Database == Name && Report.m_Instance == Primary.m_Name &&
+          Now - Received.m_ReceivedAt < kReportValidity)
+        LongestMs = std::max(LongestMs, Report.m_UnreachableMs);
+    }
+    Result.m_Hosts += LongestMs >= kUnreachableThresholdMs ? 1 : 0;
+    Result.m_LongestMs = std::max(Result.m_LongestMs, LongestMs);
   }
-  if (UnreachableReports == 0)
+  return Result;
+}
+
+void PromotionController::checkPrimary(Group &Group, const DatabaseName &Name,
+                                       const InstanceDescription &Primary,
+                                       ControlContext &Context) {
+  PrimaryCheck &Check = Group.m_PrimaryCheck;
+  if (summariseReports(Name, Primary, Context.m_Now).m_LongestMs == 0) {
+    Check = PrimaryCheck();
+    return;
+  }
+  if (Check.m_Call || Context.m_Now - Check.m_SentAt < kPrimaryCheckInterval)
+    return;
+  CallGroup Action;
+  Action.m_TimeoutMs = kPositionCallTimeoutMs;
+  Check.m_SentAt = Context.m_Now;
+  Check.m_Call =
+      sendCall(Name, GroupCallKind::ReadPosition, Primary, Action, Context);
+}
+
+void PromotionController::onPrimaryChecked(Group &Group,
+                                           const GroupCallAnswered &Event,
+                                           Time Now) {
+  PrimaryCheck &Check = Group.m_PrimaryCheck;
+  Check.m_Call.reset();
+  // An instance that refuses the request is overloaded, not lost.
+  if (Event.m_Outcome != GroupCallOutcome::Unknown) {
+    Check.m_AnsweredAt = Now;
+    Check.m_SilentSince.reset();
+    return;
+  }
+  if (!Check.m_SilentSince)
+    Check.m_SilentSince = Check.m_SentAt;
+}
+
+bool PromotionController::isUnreachable(const Group &Group,
+                                        const DatabaseName &Name,
+                                        const InstanceDescription &Primary,
+                                        Time Now) const {
+  ReportSummary Reports = summariseReports(Name, Primary, Now);
+  if (Reports.m_Hosts == 0)
     return false;
   auto LastCheckIn = m_Board.m_CheckedInAt.find(Primary.m_Name);
   bool IsCheckInOverdue = LastCheckIn == m_Board.m_CheckedInAt.end() ||
                           Now - LastCheckIn->second >= kCheckInTimeout;
+  if (IsCheckInOverdue)
+    return true;
+  const PrimaryCheck &Check = Group.m_PrimaryCheck;
+  // Few hosts hold connections to a group, so the report of one suffices when
+  // the leader gets no answer either. A single report does not, because that
+  // host may itself be cut off from the network.
+  if (Check.m_SilentSince)
+    return true;
+  // A primary that answers the leader is replaced only when most hosts cannot
+  // reach it: full connections and a full queue look like a loss to hosts.
+  bool HasAnswered =
+      Check.m_AnsweredAt && Now - *Check.m_AnsweredAt < kReportValidity;
+  if (HasAnswered)
+    return Reports.m_Hosts * 2 > Reports.m_LiveHosts;
   // Hosts without traffic for the group report nothing, so reports of a third
-  // of the live hosts suffice against a primary that still checks in. A single
-  // report does not, because that host may itself be cut off from the network.
-  return IsCheckInOverdue ||
-         (UnreachableReports >= 2 && UnreachableReports * 3 >= LiveHosts);
+  // of the live hosts suffice against a primary that still checks in.
+  return Reports.m_Hosts >= 2 && Reports.m_Hosts * 3 >= Reports.m_LiveHosts;
 }
 
 std::optional<std::string>
 PromotionController::promotionReason(Group &Group, const DatabaseName &Name,
-                                     const Members &Members, Time Now) const {
+                                     const Members &Members,
+                                     ControlContext &Context) {
+  Time Now = Context.m_Now;
   const InstanceDescription *Primary = nullptr;
   bool HasReplica = false;
   for (const InstanceDescription *Member : Members) {
@@ -170,7 +225,8 @@
                : std::nullopt;
   if (Primary->m_State == InstanceState::Draining)
     return "primary " + Primary->m_Name.m_Value + " is draining";
-  if (isReportedUnreachable(Name, *Primary, Now))
+  checkPrimary(Group, Name, *Primary, Context);
+  if (isUnreachable(Group, Name, *Primary, Now))
     return "primary " + Primary->m_Name.m_Value + " is unreachable";
   return std::nullopt;
 }
@@ -324,6 +380,8 @@
   if (Entry == m_Groups.end())
     return;
   Group &Group = Entry->second;
+  if (Group.m_PrimaryCheck.m_Call == Event.m_Call)
+    return onPrimaryChecked(Group, Event, Context.m_Now);
   if (Answered.m_Kind != GroupCallKind::Promote) {
     auto Queried = Group.m_Candidates.find(Answered.m_Instance);
     if (Group.m_Step != Step::ReadPositions ||
--- a/src/decision/control/PromotionController.h
+++ b/src/decision/control/PromotionController.h
@@ -30,6 +30,15 @@
     uint64_t m_Term = 0;
     bool m_IsPending = false;
   };
+  /// The leader's own status requests to a primary that hosts report as
+  /// unreachable. An overloaded primary still answers or refuses them.
+  struct PrimaryCheck {
+    std::optional<GroupCallId> m_Call;
+    Time m_SentAt;
+    std::optional<Time> m_AnsweredAt;
+    /// When the first of the consecutive requests without an answer was sent.
+    std::optional<Time> m_SilentSince;
+  };
   struct Group {
     Step m_Step = Step::Monitor;
     Time m_StepStartedAt;
@@ -45,6 +54,7 @@
     std::map<InstanceName, Time> m_ExcludedUntil;
     uint64_t m_HighestTerm = 0;
     bool m_IsSealing = false;
+    PrimaryCheck m_PrimaryCheck;
   };
   struct Call {
     DatabaseName m_Database;
@@ -60,10 +70,23 @@
   std::optional<std::string> promotionReason(Group &Group,
                                              const DatabaseName &Name,
                                              const Members &Members,
-                                             Time Now) const;
-  bool isReportedUnreachable(const DatabaseName &Name,
-                             const InstanceDescription &Primary,
-                             Time Now) const;
+                                             ControlContext &Context);
+  /// How many hosts report the primary as unreachable, and for how long.
+  struct ReportSummary {
+    size_t m_Hosts = 0;
+    size_t m_LiveHosts = 0;
+    uint32_t m_LongestMs = 0;
+  };
+  ReportSummary summariseReports(const DatabaseName &Name,
+                                 const InstanceDescription &Primary,
+                                 Time Now) const;
+  bool isUnreachable(const Group &Group, const DatabaseName &Name,
+                     const InstanceDescription &Primary, Time Now) const;
+  /// Sends a status request to a primary that hosts report as unreachable.
+  void checkPrimary(Group &Group, const DatabaseName &Name,
+                    const InstanceDescription &Primary,
+                    ControlContext &Context);
+  void onPrimaryChecked(Group &Group, const GroupCallAnswered &Event, Time Now);
   uint32_t syncReplicasOf(const DatabaseName &Name) const;
   void startAttempt(Group &Group, const DatabaseName &Name,
                     const Members &Members, const std::string &Reason,
--- a/src/decision/proxy/ProxyEvents.h
+++ b/src/decision/proxy/ProxyEvents.h
@@ -194,6 +194,10 @@
   /// database, the owner first.
   std::map<DatabaseName, std::vector<HostName>> m_Observers;
 
+  /// Written by GroupOwners: the groups whose statements other hosts forward to
+  /// this one.
+  std::set<DatabaseName> m_OwnedGroups;
+
   /// Written by the group controllers: reports for the next heartbeat.
   std::vector<InstanceReport> m_Reports;
 
--- /dev/null
+++ b/src/decision/session/GroupOwners.h
@@ -0,0 +1,92 @@
+/// \file
+/// Chooses the host that executes the statements of each database group.
+#pragma once
+
+#include "decision/proxy/LinkTable.h"
+#include "decision/session/SessionEvents.h"
+
+namespace almondpier {
+
+/// Hosts that may own a group, in order of preference. With three in different
+/// availability zones, the loss of a zone leaves two.
+constexpr size_t kOwnerCandidates = 3;
+
+/// Where a statement is executed.
+struct StatementRoute {
+  enum class Kind : uint8_t {
+    /// At this host.
+    Local,
+    /// At another host, over m_Link.
+    Forward,
+    /// Undecided: the link to the preferred host is being opened.
+    Wait,
+  };
+  Kind m_Kind = Kind::Local;
+  LinkId m_Link;
+  HostName m_Host;
+};
+
+/// Ranks the registered hosts for each group. The first that accepts statements
+/// is the owner. It holds nearly all connections to the instances of the group,
+/// so that few hosts share a small number of connections. Ownership is not
+/// exclusive: hosts that cannot reach the owner use another candidate or their
+/// own small share of the connections, and no guarantee depends on it.
+class GroupOwners {
+public:
+  GroupOwners(const HostName &Host, ProxyBlackboard &Board, LinkTable &Links)
+      : m_Host(Host), m_Board(Board), m_Links(Links) {}
+
+  /// Chooses the host for a new statement and opens the link to it. Hosts in
+  /// Avoided already failed to execute the statement.
+  StatementRoute route(const DatabaseName &Database, bool NeedsPrimary,
+                       const std::set<HostName> &Avoided, Time Now);
+  /// A candidate, or this host, cannot reach the primary of the group.
+  void onPrimaryUnreachable(const DatabaseName &Database, const HostName &Host,
+                            Time Now);
+  const HostName &self() const { return m_Host; }
+  void onLinkLost(LinkId Link);
+  void onOwnerStatus(LinkId Link, const OwnerStatus &Status);
+  /// Another host forwarded a statement of the group to this one.
+  void onStatementServed(const DatabaseName &Database, Time Now);
+  /// The configuration or the directory changed.
+  void onConfigurationChanged(Time Now);
+  /// Updates the groups that this host owns.
+  void tick(Time Now);
+
+private:
+  struct Owner {
+    HostName m_Name;
+    Endpoint m_Endpoint;
+  };
+  struct Group {
+    std::vector<Owner> m_Candidates;
+    /// Hosts that could not reach the primary. Until the given time they get no
+    /// statements that need it.
+    std::map<HostName, Time> m_AvoidedUntil;
+    std::optional<Time> m_LastServedAt;
+  };
+  /// State of the link to a candidate.
+  struct Peer {
+    std::optional<LinkId> m_Link;
+    Time m_WaitingSince;
+    bool m_AcceptsStatements = false;
+  };
+
+  enum class PeerState : uint8_t { Connecting, Accepting, Unavailable };
+
+  /// Opens the link to the candidate when there is none.
+  PeerState stateOf(const Owner &Candidate, Time Now);
+  const std::vector<Owner> &candidatesOf(const DatabaseName &Database);
+  std::vector<Owner> rank(const DatabaseName &Database) const;
+
+  HostName m_Host;
+  ProxyBlackboard &m_Board;
+  LinkTable &m_Links;
+  /// Input of the last ranking, which is costly for many groups.
+  std::map<HostName, HostRecord> m_RankedHosts;
+  std::map<DatabaseName, Group> m_Groups;
+  std::map<Endpoint, Peer> m_Peers;
+  Time m_OwnedUpdatedAt;
+};
+
+} // namespace almondpier
--- a/src/decision/session/GroupTracker.cpp
+++ b/src/decision/session/GroupTracker.cpp
@@ -12,6 +12,12 @@
 /// unreachable, within these bounds.
 constexpr Duration kMinUnreachableBackoff = milliseconds(100);
 constexpr Duration kMaxUnreachableBackoff = milliseconds(1'000);
+/// An instance that failed a connection or a statement counts as lost after
+/// this time without an answer.
+constexpr Duration kLossThreshold = milliseconds(150);
+/// An instance with statements in flight counts as lost after this silence.
+/// Exceeds the slowest statements.
+constexpr Duration kSilenceThreshold = milliseconds(400);
 /// A replica usually lags 8 ms; one that lacks a required position is avoided
 /// for several times that long.
 constexpr Duration kLaggingBackoff = milliseconds(60);
@@ -134,6 +140,7 @@
   InstanceHealth &Health = m_Instances[Name];
   Health.m_LastInputAt = Now;
   Health.m_UnreachableSince.reset();
+  Health.m_SilentSince.reset();
 }
 
 void GroupTracker::onOverloaded(const InstanceName &Name, Time Now) {
@@ -157,13 +164,28 @@
   Health.m_OverloadBackoff /= 2;
 }
 
-void GroupTracker::onUnreachable(const InstanceName &Name, Time Now) {
+void GroupTracker::onUnreachable(const InstanceName &Name, Time Since,
+                                 Time Now) {
   InstanceHealth &Health = m_Instances[Name];
-  if (!Health.m_UnreachableSince)
-    Health.m_UnreachableSince = Now;
-  Health.m_BackoffUntil =
-      Now + std::clamp(Now - *Health.m_UnreachableSince, kMinUnreachableBackoff,
-                       kMaxUnreachableBackoff);
+  bool IsFirst = !Health.m_UnreachableSince;
+  if (IsFirst)
+    Health.m_UnreachableSince = Since;
+  Duration Backoff =
+      IsFirst ? kMinUnreachableBackoff
+              : std::clamp(Now - *Health.m_UnreachableSince,
+                           kMinUnreachableBackoff, kMaxUnreachableBackoff);
+  Health.m_BackoffUntil = Now + Backoff;
+}
+
+bool GroupTracker::isLost(const InstanceName &Name, Time Now) const {
+  auto Found = m_Instances.find(Name);
+  if (Found == m_Instances.end())
+    return false;
+  const InstanceHealth &Health = Found->second;
+  return (Health.m_UnreachableSince &&
+          Now - *Health.m_UnreachableSince >= kLossThreshold) ||
+         (Health.m_SilentSince &&
+          Now - *Health.m_SilentSince >= kSilenceThreshold);
 }
 
 void GroupTracker::recordLatency(const InstanceName &Name, Duration Latency) {
--- a/src/decision/session/GroupTracker.h
+++ b/src/decision/session/GroupTracker.h
@@ -30,6 +30,9 @@
   Time m_LastInputAt;
   /// Time of the first of the consecutive failures to reach the instance.
   std::optional<Time> m_UnreachableSince;
+  /// Since when the instance has sent nothing although a statement is in
+  /// flight; updated at each report interval.
+  std::optional<Time> m_SilentSince;
   /// Limit of the statements that this host runs at the instance concurrently.
   /// It is reduced when the instance rejects a statement as overloaded, and
   /// raised with each success (additive increase, multiplicative decrease).
@@ -80,7 +83,11 @@
   /// The instance executed a statement.
   void onStatementSucceeded(const InstanceName &Name);
   void onInputReceived(const InstanceName &Name, Time Now);
-  void onUnreachable(const InstanceName &Name, Time Now);
+  /// The instance could not be reached or has not answered since Since.
+  void onUnreachable(const InstanceName &Name, Time Since, Time Now);
+  /// Returns whether the instance has been unreachable or silent for so long
+  /// that new statements must not be sent to it.
+  bool isLost(const InstanceName &Name, Time Now) const;
   void recordLatency(const InstanceName &Name, Duration Latency);
   /// Removes instances that left the directory, and switches to an instance
   /// that newly claims to be primary.
@@ -89,9 +96,7 @@
   InstanceHealth &healthOf(const InstanceName &Name) {
     return m_Instances[Name];
   }
-  const std::map<InstanceName, InstanceHealth> &instances() const {
-    return m_Instances;
-  }
+  std::map<InstanceName, InstanceHealth> &instances() { return m_Instances; }
 
 private:
   struct Group {
--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -9,6 +9,9 @@
 /// Connections of an instance that hosts leave unused: control hosts need one
 /// to query positions, and connections of a terminated host linger briefly.
 constexpr size_t kReservedConnections = 1;
+/// The owner of a group leaves this part of the connections to hosts that
+/// cannot reach it, and to its successor during a hand-over.
+constexpr size_t kSharedConnectionsDivisor = 8;
 /// Excess connections are closed after this idle time, so that a draining
 /// instance can terminate.
 constexpr Duration kExcessIdleTimeout = std::chrono::milliseconds(300);
@@ -24,6 +27,8 @@
                                        : Group->second.m_ConnectionLimit;
   size_t Usable =
       Limit > kReservedConnections ? Limit - kReservedConnections : Limit;
+  if (m_Board.m_OwnedGroups.contains(Database))
+    return std::max<size_t>(1, Usable - Usable / kSharedConnectionsDivisor);
   // A new control leader knows few live hosts at first, whereas the registered
   // hosts are part of the replicated configuration. The larger number prevents
   // a host from exceeding its share.
--- a/src/decision/session/InstanceSelector.cpp
+++ b/src/decision/session/InstanceSelector.cpp
@@ -1,11 +1,16 @@
 #include "decision/session/InstanceSelector.h"
 
+#include <algorithm>
+
 namespace almondpier {
 
 using std::chrono::milliseconds;
 
 namespace {
 
+/// Statements that the owner of a group runs at an instance beyond its slots,
+/// so that a slot never waits for the round trip between them.
+constexpr double kExtraStatements = 2;
 /// Opening a connection in place of another one costs the instance about as
 /// much as a statement, and again when the closed one is needed later. A
 /// connection that replaces none is cheaper because it can be reused.
@@ -52,13 +57,35 @@
   // A single statement probes whether an unreachable instance is available
   // again.
   double Allowed = Health.m_UnreachableSince ? 1 : Health.m_ConcurrencyLimit;
-  return Now >= Health.m_BackoffUntil &&
+  // Statements beyond the slots wait here, where the best instance and the
+  // remaining time are known, and not at the instance.
+  if (m_Board.m_OwnedGroups.contains(Instance.m_Database))
+    Allowed = std::min(Allowed, Instance.m_Slots + kExtraStatements);
+  bool IsSilent =
+      !Health.m_UnreachableSince && m_Tracker.isLost(Instance.m_Name, Now);
+  return !IsSilent && Now >= Health.m_BackoffUntil &&
          static_cast<double>(m_Pool.busyCount(Instance.m_Name)) + 1 <=
              Allowed &&
          m_Pool.availability(Instance.m_Name, Session.m_Organisation) !=
              InstanceConnectionPool::Availability::None;
 }
 
+bool InstanceSelector::isUnreachable(const CallerSession &Session,
+                                     const InstanceRequirement &Requirement,
+                                     Time Now) {
+  const DatabaseName &Database = Session.m_Policy.m_Database;
+  if (Requirement.m_Target != StatementTarget::CaughtUp) {
+    const InstanceDescription *Primary = m_Tracker.primaryOf(Database, Now);
+    return Primary != nullptr && m_Tracker.isLost(Primary->m_Name, Now);
+  }
+  std::vector<const InstanceDescription *> Ready =
+      m_Tracker.readyInstances(Database);
+  return std::all_of(Ready.begin(), Ready.end(),
+                     [&](const InstanceDescription *Instance) {
+                       return m_Tracker.isLost(Instance->m_Name, Now);
+                     });
+}
+
 std::string InstanceSelector::describeWaitReason(const CallerSession &Session,
                                                  Time Now) {
   InstanceRequirement Requirement = requirementOf(Session);
--- a/src/decision/session/InstanceSelector.h
+++ b/src/decision/session/InstanceSelector.h
@@ -26,6 +26,10 @@
   const InstanceDescription *select(const CallerSession &Session,
                                     const InstanceRequirement &Requirement,
                                     Time Now);
+  /// Returns whether every instance that may run the pending statement has been
+  /// unreachable for some time, or none is known.
+  bool isUnreachable(const CallerSession &Session,
+                     const InstanceRequirement &Requirement, Time Now);
   /// Describes why none of the eligible instances can run the pending
   /// statement, for the log and the error message.
   std::string describeWaitReason(const CallerSession &Session, Time Now);
--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -2,6 +2,7 @@
 /// State of a caller's session and of its pending statement.
 #pragma once
 
+#include "decision/session/GroupOwners.h"
 #include "decision/session/InstanceConnectionPool.h"
 
 #include <deque>
@@ -29,6 +30,22 @@
   CaughtUp,
 };
 
+/// A statement that was forwarded to the owner of its group.
+struct ForwardTarget {
+  LinkId m_Link;
+  HostName m_Host;
+  uint64_t m_Sequence = 0;
+};
+
+/// The host that forwards the statements of a session to this one.
+struct ForwardOrigin {
+  LinkId m_Link;
+  /// Identifies the session on the link.
+  uint64_t m_Session = 0;
+  /// Identifies the pending statement on the link.
+  uint64_t m_Sequence = 0;
+};
+
 /// The statement of a session that has not been answered yet.
 struct PendingStatement {
   ReceivedStatement m_Received;
@@ -44,6 +61,10 @@
   /// connection for it.
   bool m_IsSent = false;
   std::optional<ConnectionId> m_Connection;
+  /// Set while the statement is executed by the owner of its group.
+  std::optional<ForwardTarget> m_Forward;
+  /// Owners that could not execute the statement.
+  std::set<HostName> m_TriedOwners;
   uint32_t m_Attempts = 0;
   /// Earliest time of the next attempt.
   Time m_RetryNotBefore;
@@ -79,6 +100,11 @@
   /// Connection on which the transaction is open; empty before its first
   /// statement.
   std::optional<ConnectionId> m_PinnedConnection;
+  /// The owner at which the transaction is open; empty when it is open at this
+  /// host.
+  std::optional<ForwardTarget> m_TransactionOwner;
+  /// Set for a session of another host whose statements this host executes.
+  std::optional<ForwardOrigin> m_Origin;
 
   std::map<std::string, std::string> m_Variables;
   std::map<std::string, PreparedStatement> m_Prepared;
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -48,12 +48,13 @@
 
 } // namespace
 
-SessionController::SessionController(const SessionLimits &Limits,
-                                     ProxyBlackboard &Board,
-                                     TokenController &Tokens,
-                                     SessionActions &Actions)
+SessionController::SessionController(
+    const SessionLimits &Limits, ProxyBlackboard &Board,
+    TokenController &Tokens, SessionActions &Actions, GroupOwners &Owners,
+    StatementForwarder &Forwarder, LinkTable &Links, ProxyActions &LinkActions)
     : m_Limits(Limits), m_Board(Board), m_Tokens(Tokens), m_Actions(Actions),
-      m_Executor(Board, m_Sessions, Actions) {}
+      m_Executor(Board, m_Sessions, Actions, Owners, Forwarder),
+      m_Served(m_Sessions, m_Executor, Owners, Links, LinkActions) {}
 
 bool SessionController::isFresh(Time Now) const {
   return m_Board.m_FreshAt &&
@@ -235,6 +236,7 @@
                     : replyLocally(Session, Now);
   // Before its first statement a transaction is not open at any instance.
   if (!IsCommit && !Session.m_PinnedConnection) {
+    m_Executor.rollBack(Session, Now);
     resetTransaction(Session);
     return replyLocally(Session, Now);
   }
@@ -459,6 +461,8 @@
   CallerSession &Session = Found->second;
   StatementReply Reply = Completed.m_Reply;
   logOutcome(Session, Reply, Now);
+  if (Session.m_Origin)
+    return m_Served.complete(Session, Completed, Now);
   StatementKind Kind = Session.m_Pending->m_Received.m_Statement.m_Kind;
   bool IsTransaction = Session.m_State != TransactionState::None;
   Session.m_Pending.reset();
@@ -538,6 +542,10 @@
         (Session.m_State == TransactionState::None || EndTransactions))
       Idle.push_back(Session.m_Id);
   for (SessionId Id : Idle) {
+    if (m_Sessions.at(Id.m_Value).m_Origin) {
+      m_Served.end(Id, Now);
+      continue;
+    }
     emit(CloseSession{Id});
     end(Id, Now);
   }
@@ -570,6 +578,8 @@
                       static_cast<double>(m_OperationsRateLimited)}};
   for (Counter &Counter : m_Executor.counters())
     Result.push_back(std::move(Counter));
+  for (Counter &Counter : m_Served.counters())
+    Result.push_back(std::move(Counter));
   return Result;
 }
 
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "decision/proxy/TokenController.h"
-#include "decision/session/StatementExecutor.h"
+#include "decision/session/ServedSessionController.h"
 
 namespace almondpier {
 
@@ -35,11 +35,14 @@
 class SessionController {
 public:
   SessionController(const SessionLimits &Limits, ProxyBlackboard &Board,
-                    TokenController &Tokens, SessionActions &Actions);
+                    TokenController &Tokens, SessionActions &Actions,
+                    GroupOwners &Owners, StatementForwarder &Forwarder,
+                    LinkTable &Links, ProxyActions &LinkActions);
 
   void open(const SessionOpened &Event, Time Now);
   void receive(const StatementReceived &Event, Time Now);
   void end(SessionId Id, Time Now);
+  ServedSessionController &served() { return m_Served; }
   StatementExecutor &executor() { return m_Executor; }
   /// Resumes pending statements that obtained a rate token, were denied one, or
   /// were completed by an instance.
@@ -108,6 +111,7 @@
   SessionActions &m_Actions;
   SessionTable m_Sessions;
   StatementExecutor m_Executor;
+  ServedSessionController m_Served;
   std::optional<Time> m_ShutdownAt;
   Time m_TimeoutsCheckedAt;
   uint64_t m_SessionsOpened = 0;
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -17,6 +17,8 @@
   ConfigurationController m_Configuration;
   HeartbeatController m_Heartbeat;
   TokenController m_Tokens;
+  GroupOwners m_Owners;
+  StatementForwarder m_Forwarder{m_Links, m_ControlActions};
   SessionController m_Sessions;
   Time m_LastHandled;
   bool m_WasReady = false;
@@ -27,13 +29,15 @@
         m_Configuration(m_Options, m_Board, m_Links, m_ControlActions),
         m_Heartbeat(Options.m_Host.m_Name, m_Board, m_ControlActions),
         m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions, &m_Board),
-        m_Sessions(Limits, m_Board, m_Tokens, m_Actions), m_LastHandled(Now) {
+        m_Owners(Options.m_Host.m_Name, m_Board, m_Links),
+        m_Sessions(Limits, m_Board, m_Tokens, m_Actions, m_Owners, m_Forwarder,
+                   m_Links, m_ControlActions),
+        m_LastHandled(Now) {
     m_Board.m_Zone = Options.m_Host.m_Zone;
   }
 
-  /// A session only uses the connections of its own host, so the list of live
-  /// hosts is not requested. The connection limit is computed from the
-  /// registered hosts.
+  /// Owners are ranked among the registered hosts, and their links show whether
+  /// they run, so the list of live hosts is not requested.
   static ProxyOptions sessionOptions(ProxyOptions Options) {
     Options.m_RoutesByLiveHosts = false;
     return Options;
@@ -45,6 +49,9 @@
            !m_Board.m_Directory.m_Instances.empty();
   }
 
+  /// Returns whether this host starts work that other hosts forward to it.
+  bool acceptsStatements(Time Now) const { return isReady(Now); }
+
   void operator()(const SessionOpened &Event, Time Now) {
     m_Sessions.open(Event, Now);
   }
@@ -68,6 +75,8 @@
   }
   void operator()(const LinkOpened &Event, Time Now) {
     m_Links.onOpened(Event.m_Link, Now);
+    if (m_Links.isAccepted(Event.m_Link))
+      m_Sessions.served().onLinkAccepted(Event.m_Link, acceptsStatements(Now));
     m_Configuration.tick(Now);
     m_Tokens.requestTokens(Now);
   }
@@ -76,6 +85,7 @@
   }
   void operator()(const ShutdownRequested & /*Event*/, Time Now) {
     m_Sessions.beginShutdown(Now);
+    m_Sessions.served().setAvailability(false);
     m_ControlActions.push_back(ReportStateChange{"shutting down"});
   }
   void operator()(const MessageReceived &Event, Time Now) {
@@ -89,6 +99,17 @@
       m_Configuration.onMembersReply(Event.m_Link, *Members, Now);
     else if (const TokenGrant *Grant = std::get_if<TokenGrant>(&Received))
       m_Tokens.onGrant(Event.m_Link, *Grant, Now);
+    else if (const ForwardedStatement *Forwarded =
+                 std::get_if<ForwardedStatement>(&Received))
+      m_Sessions.served().receive(Event.m_Link, *Forwarded, Now);
+    else if (const ForwardedStatementReply *Done =
+                 std::get_if<ForwardedStatementReply>(&Received))
+      m_Sessions.executor().onForwardedReply(Event.m_Link, *Done, Now);
+    else if (const ForwardedSessionEnd *Ended =
+                 std::get_if<ForwardedSessionEnd>(&Received))
+      m_Sessions.served().onEnded(Event.m_Link, *Ended, Now);
+    else if (const OwnerStatus *Status = std::get_if<OwnerStatus>(&Received))
+      m_Owners.onOwnerStatus(Event.m_Link, *Status);
     else if (const Ping *Alive = std::get_if<Ping>(&Received))
       m_Links.onPing(Event.m_Link, *Alive);
   }
@@ -96,6 +117,8 @@
     m_Links.tick(Now);
     m_Configuration.tick(Now);
     m_Tokens.tick(Now);
+    m_Owners.tick(Now);
+    m_Sessions.served().setAvailability(acceptsStatements(Now));
     m_Sessions.tick(Now);
     m_Heartbeat.tick(m_Configuration.heartbeatPeers(), isReady(Now), Now);
     reportReadiness(Now);
@@ -115,8 +138,10 @@
       m_ControlActions.push_back(
           ReportStateChange{"policy version " + std::to_string(After) +
                             " is in force after " + std::to_string(Before)});
-    if (m_Configuration.takeChanged())
-      m_Sessions.executor().onDirectoryChanged(Now);
+    if (!m_Configuration.takeChanged())
+      return;
+    m_Sessions.executor().onDirectoryChanged(Now);
+    m_Owners.onConfigurationChanged(Now);
   }
 
   void reportReadiness(Time Now) {
@@ -141,8 +166,11 @@
   }
 
   void resumePending(Time Now) {
-    for (LinkId Link : m_Links.takeLostLinks())
+    for (LinkId Link : m_Links.takeLostLinks()) {
       m_Tokens.onLinkLost(Link);
+      m_Sessions.executor().onLinkLost(Link, Now);
+      m_Sessions.served().onLinkLost(Link, Now);
+    }
     m_Sessions.resumePending(Now);
   }
 };
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -73,6 +73,10 @@
 
 void StatementExecutor::submit(CallerSession &Session, Time Now) {
   m_RetryTokens = std::min(kMaxRetryTokens, m_RetryTokens + kRetryFraction);
+  if (Session.m_TransactionOwner) {
+    const ForwardTarget Owner = *Session.m_TransactionOwner;
+    return sendToOwner(Session, Owner.m_Link, Owner.m_Host, Now);
+  }
   if (!Session.m_PinnedConnection)
     return dispatchOrQueue(Session, Now);
   InstanceConnection *Connection = m_Pool.find(*Session.m_PinnedConnection);
@@ -110,11 +114,22 @@
   PendingStatement &Pending = *Session.m_Pending;
   if (Now < Pending.m_RetryNotBefore)
     return false;
+  if (std::optional<bool> IsForwarded = forward(Session, Now))
+    return *IsForwarded;
   InstanceRequirement Requirement = m_Selector.requirementOf(Session);
   const InstanceDescription *Instance =
       m_Selector.select(Session, Requirement, Now);
-  if (Instance == nullptr)
-    return false;
+  if (Instance == nullptr) {
+    if (!m_Selector.isUnreachable(Session, Requirement, Now))
+      return false;
+    if (Requirement.m_Target != StatementTarget::CaughtUp)
+      m_Owners.onPrimaryUnreachable(Session.m_Policy.m_Database,
+                                    m_Owners.self(), Now);
+    if (!Session.m_Origin)
+      return false;
+    returnToEntryHost(Session, m_Selector.describeWaitReason(Session, Now));
+    return true;
+  }
   InstanceConnection *Connection = m_Pool.acquire(
       *Instance, Session.m_Organisation, Session.m_Variables, Now);
   if (Connection == nullptr)
@@ -126,6 +141,121 @@
   return true;
 }
 
+// Forwarding.
+
+std::optional<bool> StatementExecutor::forward(CallerSession &Session,
+                                               Time Now) {
+  if (Session.m_Origin || !StatementForwarder::canForward(Session))
+    return std::nullopt;
+  PendingStatement &Pending = *Session.m_Pending;
+  StatementRoute Route =
+      m_Owners.route(Session.m_Policy.m_Database,
+                     Pending.m_Target != StatementTarget::CaughtUp,
+                     Pending.m_TriedOwners, Now);
+  if (Route.m_Kind == StatementRoute::Kind::Local)
+    return std::nullopt;
+  if (Route.m_Kind == StatementRoute::Kind::Wait)
+    return false;
+  sendToOwner(Session, Route.m_Link, Route.m_Host, Now);
+  return true;
+}
+
+void StatementExecutor::sendToOwner(CallerSession &Session, LinkId Link,
+                                    const HostName &Host, Time Now) {
+  m_Forwarder.send(Session, Link, Host, Now);
+  Session.m_Pending->m_IsSent = true;
+  if (isWrite(Session.m_Pending->m_Received.m_Statement))
+    Session.m_HasWritten = true;
+}
+
+void StatementExecutor::returnToEntryHost(CallerSession &Session,
+                                          const std::string &Reason) {
+  StatementReply Reply;
+  Reply.m_Error = SessionError::Busy;
+  Reply.m_ErrorText = Reason;
+  m_Completed.push_back(
+      CompletedStatement{Session.m_Id, std::move(Reply), true});
+}
+
+void StatementExecutor::onForwardedReply(LinkId Link,
+                                         const ForwardedStatementReply &Reply,
+                                         Time Now) {
+  std::optional<SessionId> Id = m_Forwarder.take(Link, Reply.m_Sequence);
+  auto Found = Id ? m_Sessions.find(Id->m_Value) : m_Sessions.end();
+  if (Found == m_Sessions.end() || !Found->second.m_Pending ||
+      !Found->second.m_Pending->m_Forward ||
+      Found->second.m_Pending->m_Forward->m_Sequence != Reply.m_Sequence)
+    return;
+  CallerSession &Session = Found->second;
+  PendingStatement &Pending = *Session.m_Pending;
+  const ForwardTarget Owner = *Pending.m_Forward;
+  std::optional<StatementReply> Parsed = parseForwardedReply(Reply);
+  if (!Parsed)
+    return onForwardFailed(Session, Now);
+  Pending.m_Forward.reset();
+  bool CanTryOther = Reply.m_IsUnreachable && Parsed->m_Error &&
+                     provesNotExecuted(*Parsed->m_Error) &&
+                     !Session.m_TransactionOwner;
+  if (CanTryOther) {
+    if (Pending.m_Target != StatementTarget::CaughtUp)
+      m_Owners.onPrimaryUnreachable(Session.m_Policy.m_Database, Owner.m_Host,
+                                    Now);
+    ++m_Retries;
+    Pending.m_IsSent = false;
+    Pending.m_TriedOwners.insert(Owner.m_Host);
+    Pending.m_LastFailure = Owner.m_Host.m_Value + ": " + Parsed->m_ErrorText;
+    return dispatchOrQueue(Session, Now);
+  }
+  Session.m_LastCommit = std::max(Session.m_LastCommit, Reply.m_LastCommit);
+  if (Parsed->m_Error)
+    Pending.m_LastFailure = "reported by owner " + Owner.m_Host.m_Value;
+  if (Session.m_State != TransactionState::None) {
+    ++Session.m_StatementsRun;
+    Session.m_TransactionOwner.reset();
+    if (Parsed->m_State == TransactionState::Open)
+      Session.m_TransactionOwner = Owner;
+  }
+  finish(Session, std::move(*Parsed));
+}
+
+void StatementExecutor::onForwardFailed(CallerSession &Session, Time Now) {
+  PendingStatement &Pending = *Session.m_Pending;
+  const ForwardTarget Owner = *Pending.m_Forward;
+  Pending.m_Forward.reset();
+  bool WasOpen = Session.m_TransactionOwner.has_value();
+  Session.m_TransactionOwner.reset();
+  SessionError Error = errorAfterConnectionLoss(Session);
+  std::string Reason = "owner " + Owner.m_Host.m_Value + " was lost";
+  bool CanRetry = Error != SessionError::OutcomeUnknown && !WasOpen &&
+                  !endsTransaction(Pending.m_Received.m_Statement);
+  if (!CanRetry)
+    return fail(Session, Error, Reason);
+  ++m_Retries;
+  ++Pending.m_Attempts;
+  Pending.m_IsSent = false;
+  Pending.m_TriedOwners.insert(Owner.m_Host);
+  Pending.m_LastFailure = Reason;
+  dispatchOrQueue(Session, Now);
+}
+
+void StatementExecutor::onLinkLost(LinkId Link, Time Now) {
+  m_Owners.onLinkLost(Link);
+  for (SessionId Id : m_Forwarder.takeLost(Link)) {
+    auto Found = m_Sessions.find(Id.m_Value);
+    if (Found != m_Sessions.end() && Found->second.m_Pending &&
+        Found->second.m_Pending->m_Forward &&
+        Found->second.m_Pending->m_Forward->m_Link == Link)
+      onForwardFailed(Found->second, Now);
+  }
+  for (auto &[Id, Session] : m_Sessions) {
+    if (!Session.m_TransactionOwner ||
+        Session.m_TransactionOwner->m_Link != Link)
+      continue;
+    Session.m_TransactionOwner.reset();
+    Session.m_State = TransactionState::Failed;
+  }
+}
+
 // Statements of one attempt.
 
 bool StatementExecutor::synchroniseConnection(CallerSession &Session,
@@ -257,7 +387,7 @@
       Event.m_Error == SessionError::Busy)
     m_Tracker.onOverloaded(Instance, Now);
   else
-    m_Tracker.onUnreachable(Instance, Now);
+    m_Tracker.onUnreachable(Instance, Now, Now);
   auto Found = Waiting ? m_Sessions.find(Waiting->m_Value) : m_Sessions.end();
   if (Found != m_Sessions.end() && Found->second.m_Pending &&
       Found->second.m_Pending->m_Connection == Event.m_Connection)
@@ -468,9 +598,10 @@
   InstanceName Instance = Connection->m_Instance;
   std::optional<SessionId> Owner = Connection->m_Session;
   bool WasIdle = Connection->m_State == ConnectionState::Idle;
+  Time SentAt = Connection->m_SentAt;
   m_Pool.close(Id);
   if (!WasIdle)
-    m_Tracker.onUnreachable(Instance, Now);
+    m_Tracker.onUnreachable(Instance, SentAt, Now);
   auto Found = Owner ? m_Sessions.find(Owner->m_Value) : m_Sessions.end();
   if (Found == m_Sessions.end())
     return;
@@ -506,6 +637,10 @@
   Pending.m_IsSent = false;
   Pending.m_TriedInstances.insert(Failed);
   Pending.m_LastFailure = Failed.m_Value + " " + Reason;
+  // Another host may reach an instance that this one has lost.
+  if (Session.m_Origin && Pending.m_Target != StatementTarget::CaughtUp &&
+      m_Tracker.isLost(Failed, Now))
+    return returnToEntryHost(Session, Pending.m_LastFailure);
   // Rejections by a lagging replica or by an instance that is not the primary
   // cost the instance almost nothing and do not count against the retry budget.
   bool IsCheap =
@@ -547,6 +682,7 @@
                       : Pending.m_IsSent ? "no answer in time"
                                          : "no connection in time";
   Pending.m_IsWaitingForInstance = false;
+  rollBackAtOwner(Session);
   std::optional<ConnectionId> Used = Pending.m_Connection;
   Pending.m_Connection.reset();
   if (Session.m_PinnedConnection == Used)
@@ -566,12 +702,24 @@
   }
   if (m_Tracker.healthOf(Connection->m_Instance).m_LastInputAt <
       Connection->m_SentAt)
-    m_Tracker.onUnreachable(Connection->m_Instance, Now);
+    m_Tracker.onUnreachable(Connection->m_Instance, Connection->m_SentAt, Now);
   m_Pool.close(Connection->m_Id);
   return Reply;
 }
 
+void StatementExecutor::rollBackAtOwner(CallerSession &Session) {
+  std::optional<ForwardTarget> Target =
+      std::exchange(Session.m_TransactionOwner, std::nullopt);
+  if (Session.m_Pending && Session.m_Pending->m_Forward) {
+    Target = std::exchange(Session.m_Pending->m_Forward, std::nullopt);
+    m_Forwarder.cancel(*Target);
+  }
+  if (Target)
+    m_Forwarder.end(Session, *Target);
+}
+
 void StatementExecutor::rollBack(CallerSession &Session, Time Now) {
+  rollBackAtOwner(Session);
   if (!Session.m_PinnedConnection)
     return;
   InstanceConnection *Connection = m_Pool.find(*Session.m_PinnedConnection);
@@ -621,11 +769,13 @@
     Entry->second = std::min(Entry->second, Connection.m_SentAt);
   }
   m_Board.m_Reports.clear();
-  for (const auto &[Name, Health] : m_Tracker.instances()) {
+  for (auto &[Name, Health] : m_Tracker.instances()) {
     std::optional<Time> Since = Health.m_UnreachableSince;
     auto Waiting = WaitingSince.find(Name);
+    Health.m_SilentSince.reset();
     if (Waiting != WaitingSince.end()) {
       Time SilentSince = std::max(Waiting->second, Health.m_LastInputAt);
+      Health.m_SilentSince = SilentSince;
       Since = Since ? std::min(*Since, SilentSince) : SilentSince;
     }
     const InstanceDescription *Instance = m_Tracker.find(Name);
@@ -661,6 +811,12 @@
        static_cast<double>(m_Pool.openedCount())},
       {"almondpier_statements_waiting", "Statements that wait for a connection",
        static_cast<double>(m_WaitQueue.size())},
+      {"almondpier_statements_forwarded_total",
+       "Statements sent to the owner of their group",
+       static_cast<double>(m_Forwarder.sentCount())},
+      {"almondpier_statements_at_owners",
+       "Forwarded statements without a reply",
+       static_cast<double>(m_Forwarder.inFlight())},
       {"almondpier_statement_retries_total", "Attempts repeated at an instance",
        static_cast<double>(m_Retries)},
       {"almondpier_position_reads_total", "Single reads sent with a position",
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decision/session/InstanceSelector.h"
+#include "decision/session/StatementForwarder.h"
 
 #include <utility>
 
@@ -11,27 +12,36 @@
 /// Selects an instance and a connection for each statement, applies the session
 /// variables and prepared statements to the connection, and retries statements
 /// that were provably not executed. A write or commit that may have been
-/// executed is never sent again.
+/// executed is never sent again. Statements of this host's sessions are
+/// forwarded to the owner of their group when that is another host.
 class StatementExecutor {
 public:
   struct CompletedStatement {
     SessionId m_Session;
     StatementReply m_Reply;
+    /// The statement was not executed because this host cannot reach an
+    /// instance that may run it.
+    bool m_IsUnreachable = false;
   };
 
   StatementExecutor(ProxyBlackboard &Board, SessionTable &Sessions,
-                    SessionActions &Actions)
+                    SessionActions &Actions, GroupOwners &Owners,
+                    StatementForwarder &Forwarder)
       : m_Board(Board), m_Sessions(Sessions), m_Actions(Actions),
-        m_Tracker(Board), m_Pool(Board, Actions),
-        m_Selector(Board, m_Tracker, m_Pool) {}
+        m_Owners(Owners), m_Forwarder(Forwarder), m_Tracker(Board),
+        m_Pool(Board, Actions), m_Selector(Board, m_Tracker, m_Pool) {}
 
   /// Executes Session.m_Pending, which must be set.
   void submit(CallerSession &Session, Time Now);
   /// Stops the execution of the pending statement, whose deadline or wait time
   /// has passed, and returns the reply for the caller.
   StatementReply abandon(CallerSession &Session, Time Now);
-  /// Rolls back the open transaction without waiting for the reply.
+  /// Rolls back the open transaction without waiting for the reply. Also ends a
+  /// statement that an owner executes for the session.
   void rollBack(CallerSession &Session, Time Now);
+  void onForwardedReply(LinkId Link, const ForwardedStatementReply &Reply,
+                        Time Now);
+  void onLinkLost(LinkId Link, Time Now);
 
   void onConnected(const InstanceConnected &Event, Time Now);
   void onRefused(const InstanceRefused &Event, Time Now);
@@ -53,6 +63,18 @@
   CounterList counters() const;
 
 private:
+  /// Forwards the pending statement, or waits for the link to an owner. Returns
+  /// nothing when the statement is to be executed at this host, otherwise
+  /// whether it was forwarded.
+  std::optional<bool> forward(CallerSession &Session, Time Now);
+  void sendToOwner(CallerSession &Session, LinkId Link, const HostName &Host,
+                   Time Now);
+  /// The owner that executes the pending statement was lost.
+  void onForwardFailed(CallerSession &Session, Time Now);
+  void rollBackAtOwner(CallerSession &Session);
+  /// Completes a forwarded statement that this host cannot execute because it
+  /// has lost the instance.
+  void returnToEntryHost(CallerSession &Session, const std::string &Reason);
   void dispatchOrQueue(CallerSession &Session, Time Now);
   /// Takes a token from the retry budget. Returns false when it is exhausted;
   /// further retries would amplify an overload.
@@ -99,6 +121,8 @@
   ProxyBlackboard &m_Board;
   SessionTable &m_Sessions;
   SessionActions &m_Actions;
+  GroupOwners &m_Owners;
+  StatementForwarder &m_Forwarder;
   GroupTracker m_Tracker;
   InstanceConnectionPool m_Pool;
   InstanceSelector m_Selector;
--- /dev/null
+++ b/tests/session/FleetLoadTest.cpp
@@ -0,0 +1,113 @@
+#include "session/SessionFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondpier;
+using namespace almondpier::sessiontest;
+
+namespace {
+
+struct LoadResult {
+  size_t m_Sent = 0;
+  size_t m_Served = 0;
+  size_t m_ServedInTime = 0;
+  size_t m_Opened = 0;
+  size_t m_OverLimit = 0;
+  size_t m_Executed = 0;
+  size_t m_MaxConnections = 0;
+};
+
+/// Steady single statements of many small organisations and a few large ones:
+/// half writes to the primaries, half reads. Each session sends its next
+/// statement after the reply to the last one.
+LoadResult runSteadyLoad(const FleetShape &Shape, size_t PerSecond,
+                         Duration Length) {
+  SessionFleet Fleet(Shape);
+  std::mt19937 Random(7);
+  LoadResult Result;
+  std::vector<size_t> Idle;
+  std::map<size_t, Time> SentAt;
+  for (size_t Count = 0; Count < 4 * Shape.m_Hosts; ++Count) {
+    size_t Organisation =
+        Random() % 3 == 0 ? Random() % 2 : Random() % Shape.m_Organisations;
+    Idle.push_back(Fleet.open(Count % Shape.m_Hosts, "own",
+                              Random() % Shape.m_Groups, Organisation));
+  }
+  double Due = 0;
+  for (Time End = Fleet.m_Now + Length; Fleet.m_Now < End;) {
+    Due += static_cast<double>(PerSecond) / 1'000;
+    for (; Due >= 1 && !Idle.empty(); Due -= 1) {
+      std::swap(Idle[Random() % Idle.size()], Idle.back());
+      size_t Id = Idle.back();
+      Idle.pop_back();
+      SentAt[Id] = Fleet.m_Now;
+      ++Result.m_Sent;
+      Fleet.send(Id, Random() % 2 == 0 ? StatementKind::Write
+                                       : StatementKind::Read);
+    }
+    Fleet.run(milliseconds(1));
+    for (auto Entry = SentAt.begin(); Entry != SentAt.end();) {
+      std::vector<StatementReply> &Replies =
+          Fleet.m_Sessions[Entry->first].m_Replies;
+      if (Replies.empty()) {
+        ++Entry;
+        continue;
+      }
+      bool IsServed = !Replies.back().m_Error;
+      Result.m_Served += IsServed ? 1 : 0;
+      Result.m_ServedInTime +=
+          IsServed && Fleet.m_Now - Entry->second <= milliseconds(200) ? 1 : 0;
+      Replies.clear();
+      Idle.push_back(Entry->first);
+      Entry = SentAt.erase(Entry);
+    }
+  }
+  for (size_t Index = 0; Index < Fleet.instanceCount(); ++Index) {
+    Result.m_Opened += Fleet.instanceAt(Index).m_Opened;
+    Result.m_OverLimit += Fleet.instanceAt(Index).m_RefusedOverLimit;
+    Result.m_Executed += Fleet.instanceAt(Index).m_Executed;
+    Result.m_MaxConnections = std::max(
+        Result.m_MaxConnections, Fleet.instanceAt(Index).m_MaxConnections);
+  }
+  MESSAGE("hosts ", Shape.m_Hosts, ": sent ", Result.m_Sent, ", served ",
+          Result.m_Served, ", within 200 ms ", Result.m_ServedInTime,
+          ", connections opened ", Result.m_Opened, ", refused over the limit ",
+          Result.m_OverLimit, ", statements run ", Result.m_Executed);
+  return Result;
+}
+
+void checkServed(const LoadResult &Result) {
+  CHECK(Result.m_OverLimit == 0);
+  // Statements in flight at the end are not counted as served.
+  CHECK(Result.m_Served + Result.m_Sent / 100 + 40 >= Result.m_Sent);
+  CHECK(Result.m_ServedInTime * 100 >= Result.m_Served * 97);
+}
+
+} // namespace
+
+TEST_CASE("session load: more hosts than connections, steady load of many "
+          "organisations") {
+  // 84 hosts before instances with 59 connections. When each host kept
+  // connections of its own, together they exceeded the limit, and statements of
+  // 82 organisations replaced them all the time.
+  FleetShape Shape;
+  Shape.m_Hosts = 84;
+  Shape.m_Groups = 4;
+  Shape.m_Organisations = 82;
+  Shape.m_ConnectionLimit = 59;
+  LoadResult Result = runSteadyLoad(Shape, 400, std::chrono::seconds(6));
+  checkServed(Result);
+  CHECK(Result.m_Opened <= 4 * SessionFleet::kInstancesPerGroup * 59);
+}
+
+TEST_CASE("session load: few hosts with two connections each, steady load of "
+          "eight organisations") {
+  FleetShape Shape;
+  Shape.m_Hosts = 9;
+  Shape.m_Groups = 3;
+  Shape.m_Organisations = 8;
+  LoadResult Result = runSteadyLoad(Shape, 300, std::chrono::seconds(6));
+  checkServed(Result);
+  // One new connection for 20 statements.
+  CHECK(Result.m_Opened * 20 <= Result.m_Sent);
+}
