Keep owners in use when links and hosts come and go

Cause: (1) an acceptor told its peers a ping interval and then lengthened it as more links arrived, so that peers which knew the shorter one took it for lost; (2) an owner held nearly all connections, which an instance keeps for 3 s after a freeze or a loss of power, so its successor got too few; (3) a host that froze repeatedly was used again after each wake-up.

Change: a ping is due within the interval last announced; an owner uses half of the connections; a candidate whose link was lost waits 1 s, doubling to 16 s, unless there is no other.

--- a/src/decision/proxy/LinkTable.cpp
+++ b/src/decision/proxy/LinkTable.cpp
@@ -222,9 +222,11 @@
 void LinkTable::pingIfDue(LinkId Link, Traffic &Traffic, Duration Interval,
                           Time Now) {
   bool IsFirst = Traffic.m_LastPing == Time::min();
-  if (!IsFirst && Now - Traffic.m_LastPing < Interval)
+  if (!IsFirst && Now - Traffic.m_LastPing <
+                      std::min(Interval, Traffic.m_AnnouncedInterval))
     return;
   Traffic.m_LastPing = Now;
+  Traffic.m_AnnouncedInterval = Interval;
   uint32_t NextWithinMs = static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(Interval).count());
   m_Actions.push_back(SendMessage{Link, Ping{NextWithinMs}});
--- a/src/decision/proxy/LinkTable.h
+++ b/src/decision/proxy/LinkTable.h
@@ -74,6 +74,9 @@
     size_t m_InFlight = 0;
     /// Announced by the last ping of the peer.
     Duration m_PeerPingInterval = kPingInterval;
+    /// Announced by the last ping to the peer, which expects the next one
+    /// within it.
+    Duration m_AnnouncedInterval = kPingInterval;
 
     Duration timeSinceInput(Time Now) const {
       return Now - std::max(m_LastInput, m_BusySince);
--- a/src/decision/session/GroupOwners.cpp
+++ b/src/decision/session/GroupOwners.cpp
@@ -20,6 +20,10 @@
 /// A host that is not the first candidate keeps the connections of an owner for
 /// this time after the last statement that was forwarded to it.
 constexpr Duration kServedRetention = milliseconds(1'000);
+/// A host that freezes and wakes repeatedly costs its callers a timeout each
+/// time, so the wait before it is used again doubles with each loss.
+constexpr Duration kMinProbation = milliseconds(1'000);
+constexpr Duration kMaxProbation = milliseconds(16'000);
 constexpr Duration kOwnedUpdateInterval = milliseconds(100);
 
 } // namespace
@@ -74,6 +78,7 @@
   const std::vector<Owner> &Candidates = candidatesOf(Database);
   const std::map<HostName, Time> &AvoidedUntil =
       m_Groups.at(Database).m_AvoidedUntil;
+  const Owner *OnProbation = nullptr;
   for (const Owner &Candidate : Candidates) {
     auto Until = AvoidedUntil.find(Candidate.m_Name);
     bool IsCutOff =
@@ -84,16 +89,24 @@
       return StatementRoute{};
     switch (stateOf(Candidate, Now)) {
     case PeerState::Accepting:
-      return StatementRoute{StatementRoute::Kind::Forward,
-                            *m_Peers.at(Candidate.m_Endpoint).m_Link,
-                            Candidate.m_Name};
+      return forwardTo(Candidate);
     case PeerState::Connecting:
       return StatementRoute{StatementRoute::Kind::Wait, {}, Candidate.m_Name};
+    case PeerState::OnProbation:
+      if (OnProbation == nullptr)
+        OnProbation = &Candidate;
+      break;
     case PeerState::Unavailable:
       break;
     }
   }
-  return StatementRoute{};
+  return OnProbation != nullptr ? forwardTo(*OnProbation) : StatementRoute{};
+}
+
+StatementRoute GroupOwners::forwardTo(const Owner &Candidate) const {
+  return StatementRoute{StatementRoute::Kind::Forward,
+                        *m_Peers.at(Candidate.m_Endpoint).m_Link,
+                        Candidate.m_Name};
 }
 
 GroupOwners::PeerState GroupOwners::stateOf(const Owner &Candidate, Time Now) {
@@ -104,9 +117,12 @@
     m_Links.acquire(Candidate.m_Endpoint, LinkUse::Forward, Now);
   }
   std::optional<LinkId> Link = m_Links.linkTo(Candidate.m_Endpoint);
-  if (Link && Peer.m_Link == Link)
-    return Peer.m_AcceptsStatements ? PeerState::Accepting
-                                    : PeerState::Unavailable;
+  if (Link && Peer.m_Link == Link) {
+    if (!Peer.m_AcceptsStatements)
+      return PeerState::Unavailable;
+    return Now < Peer.m_ProbationUntil ? PeerState::OnProbation
+                                       : PeerState::Accepting;
+  }
   bool IsWaiting = m_Links.stateOf(Candidate.m_Endpoint) != LinkState::Down &&
                    Now - Peer.m_WaitingSince < kLinkWait;
   return IsWaiting ? PeerState::Connecting : PeerState::Unavailable;
@@ -118,15 +134,22 @@
 }
 
 void GroupOwners::onLinkLost(LinkId Link) {
-  for (auto &[Endpoint, Peer] : m_Peers)
-    if (Peer.m_Link == Link)
-      Peer.m_Link.reset();
+  for (auto &[Endpoint, Peer] : m_Peers) {
+    if (Peer.m_Link != Link)
+      continue;
+    Peer.m_Link.reset();
+    Peer.m_Probation =
+        std::clamp(2 * Peer.m_Probation, kMinProbation, kMaxProbation);
+  }
 }
 
-void GroupOwners::onOwnerStatus(LinkId Link, const OwnerStatus &Status) {
+void GroupOwners::onOwnerStatus(LinkId Link, const OwnerStatus &Status,
+                                Time Now) {
   for (auto &[Endpoint, Peer] : m_Peers) {
     if (m_Links.linkTo(Endpoint) != Link)
       continue;
+    if (Peer.m_Link != Link)
+      Peer.m_ProbationUntil = Now + Peer.m_Probation;
     Peer.m_Link = Link;
     Peer.m_AcceptsStatements = Status.m_AcceptsStatements;
   }
--- a/src/decision/session/GroupOwners.h
+++ b/src/decision/session/GroupOwners.h
@@ -45,7 +45,7 @@
                             Time Now);
   const HostName &self() const { return m_Host; }
   void onLinkLost(LinkId Link);
-  void onOwnerStatus(LinkId Link, const OwnerStatus &Status);
+  void onOwnerStatus(LinkId Link, const OwnerStatus &Status, Time Now);
   /// Another host forwarded a statement of the group to this one.
   void onStatementServed(const DatabaseName &Database, Time Now);
   /// The configuration or the directory changed.
@@ -70,10 +70,21 @@
     std::optional<LinkId> m_Link;
     Time m_WaitingSince;
     bool m_AcceptsStatements = false;
+    /// A candidate whose link was lost is used again after this time, unless
+    /// there is no other.
+    Time m_ProbationUntil;
+    Duration m_Probation{};
   };
 
-  enum class PeerState : uint8_t { Connecting, Accepting, Unavailable };
+  enum class PeerState : uint8_t {
+    Connecting,
+    Accepting,
+    /// Accepts statements, but its link was lost a short time ago.
+    OnProbation,
+    Unavailable
+  };
 
+  StatementRoute forwardTo(const Owner &Candidate) const;
   /// Opens the link to the candidate when there is none.
   PeerState stateOf(const Owner &Candidate, Time Now);
   const std::vector<Owner> &candidatesOf(const DatabaseName &Database);
--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -9,9 +9,10 @@
 /// Connections of an instance that hosts leave unused: control hosts need one
 /// to query positions, and connections of a terminated host linger briefly.
 constexpr size_t kReservedConnections = 1;
-/// The owner of a group leaves this part of the connections to hosts that
-/// cannot reach it, and to its successor during a hand-over.
-constexpr size_t kSharedConnectionsDivisor = 8;
+/// The owner of a group leaves this part of the connections to its successor.
+/// An instance keeps the connections of a host that froze or lost power for
+/// seconds.
+constexpr size_t kSuccessorConnectionsDivisor = 2;
 /// Excess connections are closed after this idle time, so that a draining
 /// instance can terminate.
 constexpr Duration kExcessIdleTimeout = std::chrono::milliseconds(300);
@@ -28,7 +29,7 @@
   size_t Usable =
       Limit > kReservedConnections ? Limit - kReservedConnections : Limit;
   if (m_Board.m_OwnedGroups.contains(Database))
-    return std::max<size_t>(1, Usable - Usable / kSharedConnectionsDivisor);
+    return std::max<size_t>(1, Usable - Usable / kSuccessorConnectionsDivisor);
   // A new control leader knows few live hosts at first, whereas the registered
   // hosts are part of the replicated configuration. The larger number prevents
   // a host from exceeding its share.
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -109,7 +109,7 @@
                  std::get_if<ForwardedSessionEnd>(&Received))
       m_Sessions.served().onEnded(Event.m_Link, *Ended, Now);
     else if (const OwnerStatus *Status = std::get_if<OwnerStatus>(&Received))
-      m_Owners.onOwnerStatus(Event.m_Link, *Status);
+      m_Owners.onOwnerStatus(Event.m_Link, *Status, Now);
     else if (const Ping *Alive = std::get_if<Ping>(&Received))
       m_Links.onPing(Event.m_Link, *Alive);
   }
--- a/tests/session/OwnerTest.cpp
+++ b/tests/session/OwnerTest.cpp
@@ -130,7 +130,7 @@
       Writers.push_back(Fleet.open(Index, "own"));
   uint64_t Before = Fleet.instance(0, 0).m_Position.m_Index;
   size_t Sent = 0;
-  for (int Round = 0; Round < 60; ++Round) {
+  for (int Round = 0; Round < 90; ++Round) {
     if (Round == 30)
       Fleet.start(Owner);
     for (size_t Id : Writers)
@@ -250,3 +250,64 @@
   size_t Id = Fleet.open(entryHostOf(Fleet), "own");
   CHECK(!Fleet.sendAndWait(Id, StatementKind::Read).m_Error);
 }
+
+TEST_CASE("owner: a host that freezes again and again costs its callers few "
+          "timeouts") {
+  SessionFleet Fleet({.m_Hosts = 5});
+  warmUp(Fleet);
+  size_t Owner = Fleet.busiestOwner();
+  size_t Id = Fleet.open(entryHostOf(Fleet), "own");
+  size_t Slow = 0;
+  for (int Pulse = 0; Pulse < 6; ++Pulse) {
+    Fleet.setFrozen(Owner, true);
+    for (int Count = 0; Count < 10; ++Count) {
+      Time Start = Fleet.m_Now;
+      CHECK(!Fleet.sendAndWait(Id, StatementKind::Read).m_Error);
+      Slow += Fleet.m_Now - Start > milliseconds(200) ? 1 : 0;
+      Fleet.run(milliseconds(50));
+    }
+    Fleet.setFrozen(Owner, false);
+    Fleet.run(milliseconds(1'200));
+  }
+  CHECK(Slow <= 3);
+}
+
+TEST_CASE("owner: the successor of an owner that went dark has connections at "
+          "once") {
+  // An instance keeps the connections of a dark host for 3 s. An owner that
+  // held nearly all of them left its successor with too few.
+  SessionFleet Fleet({.m_Hosts = 5, .m_Organisations = 8});
+  warmUp(Fleet);
+  size_t Entry = entryHostOf(Fleet);
+  std::vector<size_t> Callers;
+  for (size_t Count = 0; Count < 32; ++Count)
+    Callers.push_back(Fleet.open(Entry, "own", 0, Count % 8));
+  auto SendAll = [&] {
+    for (size_t Id : Callers)
+      Fleet.send(Id, StatementKind::Read);
+    Fleet.run(milliseconds(600));
+  };
+  SendAll();
+  SendAll();
+  Fleet.setFrozen(Fleet.busiestOwner(), true);
+  Fleet.run(milliseconds(700));
+  SendAll();
+  SendAll();
+  for (size_t Index = 0; Index < Fleet.instanceCount(); ++Index)
+    CHECK(Fleet.instanceAt(Index).m_RefusedOverLimit == 0);
+  for (size_t Id : Callers) {
+    REQUIRE(Fleet.m_Sessions[Id].m_Replies.size() == 4);
+    CHECK(!Fleet.m_Sessions[Id].m_Replies.back().m_Error);
+  }
+}
+
+TEST_CASE("owner: links stay up when many hosts connect to an owner one after "
+          "the other") {
+  // An owner pings idle links less often the more it has. Hosts that connected
+  // early had been told a shorter interval and took the owner for lost.
+  SessionFleet Fleet({.m_Hosts = 60});
+  warmUp(Fleet);
+  Fleet.run(milliseconds(2'000));
+  for (size_t Index = 0; Index < 60; ++Index)
+    CHECK(Fleet.counter(Index, "almondpier_links_lost_total") == 0);
+}
