--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -192,11 +192,7 @@
   // reach it: full connections and a full queue look like a loss to hosts.
   bool HasAnswered =
       Check.m_AnsweredAt && Now - *Check.m_AnsweredAt < kReportValidity;
-  if (HasAnswered)
-    return Reports.m_Hosts * 2 > Reports.m_LiveHosts;
-  // Hosts without traffic for the group report nothing, so reports of a third
-  // of the live hosts suffice against a primary that still checks in.
-  return Reports.m_Hosts >= 2 && Reports.m_Hosts * 3 >= Reports.m_LiveHosts;
+  return HasAnswered && Reports.m_Hosts * 2 > Reports.m_LiveHosts;
 }
 
 std::optional<std::string>
--- a/src/decision/session/GroupTracker.cpp
+++ b/src/decision/session/GroupTracker.cpp
@@ -53,11 +53,22 @@
 }
 
 std::vector<const InstanceDescription *>
-GroupTracker::readyInstances(const DatabaseName &Database) const {
+GroupTracker::membersOf(const DatabaseName &Database) const {
   std::vector<const InstanceDescription *> Result;
-  for (const InstanceDescription &Entry : m_Board.m_Directory.m_Instances)
-    if (Entry.m_Database == Database && Entry.m_State == InstanceState::Ready)
-      Result.push_back(&Entry);
+  auto Members = m_Members.find(Database);
+  if (Members == m_Members.end())
+    return Result;
+  for (size_t Index : Members->second)
+    Result.push_back(&m_Board.m_Directory.m_Instances[Index]);
+  return Result;
+}
+
+std::vector<const InstanceDescription *>
+GroupTracker::readyInstances(const DatabaseName &Database) const {
+  std::vector<const InstanceDescription *> Result = membersOf(Database);
+  std::erase_if(Result, [](const InstanceDescription *Entry) {
+    return Entry->m_State != InstanceState::Ready;
+  });
   return Result;
 }
 
@@ -75,11 +86,10 @@
       return Known;
   }
   const InstanceDescription *Best = nullptr;
-  for (const InstanceDescription &Entry : m_Board.m_Directory.m_Instances)
-    if (Entry.m_Database == Database && Entry.m_IsPrimary &&
-        !IsRuledOut(Entry.m_Name) &&
+  for (const InstanceDescription *Entry : membersOf(Database))
+    if (Entry->m_IsPrimary && !IsRuledOut(Entry->m_Name) &&
         (Best == nullptr || Best->m_State != InstanceState::Ready))
-      Best = &Entry;
+      Best = Entry;
   return Best;
 }
 
@@ -200,6 +210,10 @@
 }
 
 void GroupTracker::onDirectoryChanged(Time Now) {
+  m_Members.clear();
+  const std::vector<InstanceDescription> &All = m_Board.m_Directory.m_Instances;
+  for (size_t Index = 0; Index < All.size(); ++Index)
+    m_Members[All[Index].m_Database].push_back(Index);
   std::erase_if(m_Instances, [&](const auto &Entry) {
     return find(Entry.first) == nullptr;
   });
--- a/src/decision/session/GroupTracker.h
+++ b/src/decision/session/GroupTracker.h
@@ -99,6 +99,9 @@
   std::map<InstanceName, InstanceHealth> &instances() { return m_Instances; }
 
 private:
+  std::vector<const InstanceDescription *>
+  membersOf(const DatabaseName &Database) const;
+
   struct Group {
     std::optional<InstanceName> m_Primary;
     /// In the order of their time; positions never decrease.
@@ -106,6 +109,9 @@
   };
 
   const ProxyBlackboard &m_Board;
+  /// Positions of each group's instances in the directory; avoids a scan of the
+  /// whole directory for every statement.
+  std::map<DatabaseName, std::vector<size_t>> m_Members;
   std::map<DatabaseName, Group> m_Groups;
   std::map<InstanceName, InstanceHealth> m_Instances;
 };
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -86,28 +86,28 @@
 }
 
 void StatementExecutor::dispatchOrQueue(CallerSession &Session, Time Now) {
+  m_FullGroups.clear();
   if (dispatch(Session, Now))
     return;
   Session.m_Pending->m_IsWaitingForInstance = true;
   Session.m_Pending->m_WaitingSince = Now;
-  m_WaitQueue.push_back(Session.m_Id);
+  m_WaitQueue.push(Session.m_Organisation, Session.m_Id);
 }
 
 void StatementExecutor::dispatchWaiting(Time Now) {
-  std::deque<SessionId> Queue;
-  std::swap(Queue, m_WaitQueue);
-  for (SessionId Id : Queue) {
+  m_FullGroups.clear();
+  m_WaitQueue.visit([&](SessionId Id) {
     auto Found = m_Sessions.find(Id.m_Value);
     if (Found == m_Sessions.end() || !Found->second.m_Pending ||
         !Found->second.m_Pending->m_IsWaitingForInstance)
-      continue;
+      return WaitQueue::Verdict::Obsolete;
     CallerSession &Session = Found->second;
     Session.m_Pending->m_IsWaitingForInstance = false;
     if (dispatch(Session, Now))
-      continue;
+      return WaitQueue::Verdict::Dispatched;
     Session.m_Pending->m_IsWaitingForInstance = true;
-    m_WaitQueue.push_back(Id);
-  }
+    return WaitQueue::Verdict::Kept;
+  });
 }
 
 bool StatementExecutor::dispatch(CallerSession &Session, Time Now) {
@@ -117,11 +117,16 @@
   if (std::optional<bool> IsForwarded = forward(Session, Now))
     return *IsForwarded;
   InstanceRequirement Requirement = m_Selector.requirementOf(Session);
+  std::pair Group(Session.m_Policy.m_Database, Requirement.m_Target);
+  if (m_FullGroups.contains(Group))
+    return false;
   const InstanceDescription *Instance =
       m_Selector.select(Session, Requirement, Now);
   if (Instance == nullptr) {
-    if (!m_Selector.isUnreachable(Session, Requirement, Now))
+    if (!m_Selector.isUnreachable(Session, Requirement, Now)) {
+      m_FullGroups.insert(std::move(Group));
       return false;
+    }
     if (Requirement.m_Target != StatementTarget::CaughtUp)
       m_Owners.onPrimaryUnreachable(Session.m_Policy.m_Database,
                                     m_Owners.self(), Now);
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -4,6 +4,7 @@
 
 #include "decision/session/InstanceSelector.h"
 #include "decision/session/StatementForwarder.h"
+#include "decision/session/WaitQueue.h"
 
 #include <utility>
 
@@ -126,9 +127,11 @@
   GroupTracker m_Tracker;
   InstanceConnectionPool m_Pool;
   InstanceSelector m_Selector;
-  /// Sessions whose pending statement waits for a connection, in order of
-  /// arrival.
-  std::deque<SessionId> m_WaitQueue;
+  /// Groups without a free instance in the current pass over the queue; the
+  /// other statements of such a group need not be tried.
+  std::set<std::pair<DatabaseName, StatementTarget>> m_FullGroups;
+  /// Sessions whose pending statement waits for a connection.
+  WaitQueue m_WaitQueue;
   std::vector<CompletedStatement> m_Completed;
   Time m_ExcessClosedAt;
   Time m_ReportedAt;
