Revert the bound of token requests; name the database in owners' log lines

The log line of a forwarded statement said 'route' without a name; it names the database, as docs/OPERATIONS.md says.

--- a/src/decision/proxy/TokenController.cpp
+++ b/src/decision/proxy/TokenController.cpp
@@ -11,9 +11,6 @@
 
 // Reconnects to a leader that does not answer a request within this time.
 static constexpr Duration kAnswerTimeout = milliseconds(400);
-// A request is followed by another one after this time even without an answer,
-// because a leader without a lease does not answer.
-static constexpr Duration kNextRequestTimeout = milliseconds(100);
 // Longest interval between requests while the leader is short of tokens. Bounds
 // the time until a silent leader is noticed.
 static constexpr Duration kMaxShortRequestInterval = milliseconds(100);
@@ -403,12 +400,7 @@
 void TokenController::requestTokens(Time Now) {
   std::optional<LinkId> Link =
       m_Leader ? m_Links.linkTo(*m_Leader) : std::nullopt;
-  // Demand that arises while a request is in flight goes into the next one, so
-  // that the requests of many hosts cannot overload a leader that is slow.
-  bool HasRecentRequest = !m_OutstandingRequests.empty() &&
-                          Now - m_LastRequestAt < kNextRequestTimeout;
-  if (Link && !HasRecentRequest &&
-      Now - m_LastRequestAt >= kTokenRequestInterval)
+  if (Link && Now - m_LastRequestAt >= kTokenRequestInterval)
     sendTokenRequest(*Link, Now);
 }
 
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -440,8 +440,11 @@
           (IsFailure ? std::string(nameOf(*Reply.m_Error)) + " (" +
                            Reply.m_ErrorText + ")"
                      : "answered") +
-          ", organisation " + Session.m_Organisation.m_Value + ", route " +
-          Session.m_Route.m_Value + ", after " +
+          ", organisation " + Session.m_Organisation.m_Value +
+          (Session.m_Origin ? ", forwarded for database " +
+                                  Session.m_Policy.m_Database.m_Value
+                            : ", route " + Session.m_Route.m_Value) +
+          ", after " +
           std::to_string((Now - Pending.m_Received.m_ReceivedAt) /
                          milliseconds(1)) +
           " ms and " + std::to_string(Pending.m_Attempts) +
