--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -247,6 +247,7 @@
        Offset += kMaxSnapshotChunkBytes) {
     Reply.m_SnapshotOffset = Offset;
     Reply.m_Snapshot = m_Snapshot.substr(Offset, kMaxSnapshotChunkBytes);
+    m_SnapshotBytesSent += Reply.m_Snapshot.size();
     Context.m_Actions.push_back(SendMessage{Link, Reply});
     Reply.m_LiveHosts.reset();
   }
--- a/src/decision/control/FeedController.h
+++ b/src/decision/control/FeedController.h
@@ -33,6 +33,7 @@
   std::optional<ReadIndexRequest> takeLeaderRequest();
   uint64_t answeredPolls() const { return m_AnsweredPolls; }
   uint64_t droppedPolls() const { return m_DroppedPolls; }
+  uint64_t snapshotBytesSent() const { return m_SnapshotBytesSent; }
 
 private:
   struct PollWaiter {
@@ -97,6 +98,7 @@
   std::map<LinkId, SentVersions> m_SentLists;
   uint64_t m_AnsweredPolls = 0;
   uint64_t m_DroppedPolls = 0;
+  uint64_t m_SnapshotBytesSent = 0;
 };
 
 } // namespace almondpier
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -15,6 +15,9 @@
 /// that does not answer.
 static constexpr Duration kOwnZoneRetryInterval = std::chrono::seconds(10);
 
+/// Limits the log lines about control hosts that do not answer.
+static constexpr Duration kTimeoutReportInterval = std::chrono::seconds(1);
+
 ConfigurationController::ConfigurationController(const ProxyOptions &Options,
                                                  ProxyBlackboard &Board,
                                                  LinkTable &Links,
@@ -35,12 +38,11 @@
     m_AnswerDueSince = Now;
     m_Links.acquire(currentPeer(), LinkUse::Poll, Now);
   }
+  if (Now - *m_AnswerDueSince >= kPollTimeout)
+    return onPollTimeout(Now);
   bool IsDown = m_Links.stateOf(currentPeer()) == LinkState::Down;
-  if (Now - *m_AnswerDueSince >= kPollTimeout ||
-      (IsDown && Now - m_LastPeerChange >= kMinPeerChangeInterval)) {
-    pollNextPeer(Now);
-    return;
-  }
+  if (IsDown && Now - m_LastPeerChange >= kMinPeerChangeInterval)
+    return pollNextPeer(Now);
   std::optional<LinkId> Link = m_Links.linkTo(currentPeer());
   if (!Link)
     return;
@@ -59,6 +61,22 @@
   sendPoll(*Link, Now);
 }
 
+void ConfigurationController::onPollTimeout(Time Now) {
+  ++m_PollTimeouts;
+  if (!m_TimeoutReportedAt ||
+      Now - *m_TimeoutReportedAt >= kTimeoutReportInterval) {
+    m_TimeoutReportedAt = Now;
+    m_Actions.push_back(ReportStateChange{
+        "control host " + formatEndpoint(currentPeer()) +
+        " did not answer a poll in time (" + std::to_string(m_PollTimeouts) +
+        " timeouts so far); configuration at index " +
+        std::to_string(m_Board.m_AppliedIndex) + ", " +
+        std::to_string(m_PartialSnapshot.size()) +
+        " bytes of a snapshot received"});
+  }
+  pollNextPeer(Now);
+}
+
 void ConfigurationController::pollNextPeer(Time Now) {
   m_Links.release(currentPeer(), LinkUse::Poll);
   m_CurrentPeer = (m_CurrentPeer + 1) % m_Peers.size();
@@ -168,6 +186,7 @@
       Reply.m_SnapshotOffset != m_PartialSnapshot.size())
     return false;
   m_PartialSnapshot += Reply.m_Snapshot;
+  m_SnapshotBytesReceived += Reply.m_Snapshot.size();
   if (m_PartialSnapshot.size() < Reply.m_SnapshotBytes)
     return false;
   std::string Encoded = std::move(m_PartialSnapshot);
@@ -185,6 +204,7 @@
   m_Board.m_AppliedIndex = Reply.m_AppliedIndex;
   m_NeedsSnapshot = false;
   m_Changed = true;
+  ++m_SnapshotsApplied;
   return true;
 }
 
@@ -269,4 +289,18 @@
   return Changed;
 }
 
+CounterList ConfigurationController::counters() const {
+  return {{"almondpier_polls_total", "Polls sent to control hosts",
+           static_cast<double>(m_Sequence)},
+          {"almondpier_poll_timeouts_total",
+           "Polls that a control host did not answer in time",
+           static_cast<double>(m_PollTimeouts)},
+          {"almondpier_snapshots_applied_total",
+           "Snapshots of the configuration received completely",
+           static_cast<double>(m_SnapshotsApplied)},
+          {"almondpier_snapshot_bytes_received_total",
+           "Bytes of snapshots of the configuration received",
+           static_cast<double>(m_SnapshotBytesReceived)}};
+}
+
 } // namespace almondpier
--- a/src/decision/proxy/ConfigurationController.h
+++ b/src/decision/proxy/ConfigurationController.h
@@ -2,6 +2,7 @@
 /// Keeps the configuration up to date and proves its freshness.
 #pragma once
 
+#include "decision/Counter.h"
 #include "decision/proxy/LinkTable.h"
 
 #include <deque>
@@ -34,8 +35,8 @@
   /// The control host that leads, when known.
   std::optional<Endpoint> leader() const { return m_Leader; }
 
-  uint64_t pollsSent() const { return m_Sequence; }
   uint64_t peerChanges() const { return m_PeerChanges; }
+  CounterList counters() const;
 
 private:
   struct Poll {
@@ -46,6 +47,8 @@
 
   const Endpoint &currentPeer() const { return m_Peers[m_CurrentPeer]; }
   void pollNextPeer(Time Now);
+  /// The polled control host did not answer in time.
+  void onPollTimeout(Time Now);
   void sendPoll(LinkId Link, Time Now);
   void startPollingCurrentPeer(Time Now);
   void updateMembers(const PollReply &Reply);
@@ -83,6 +86,10 @@
   bool m_NeedsSnapshot = false;
   bool m_Changed = false;
   uint64_t m_PeerChanges = 0;
+  uint64_t m_PollTimeouts = 0;
+  uint64_t m_SnapshotsApplied = 0;
+  uint64_t m_SnapshotBytesReceived = 0;
+  std::optional<Time> m_TimeoutReportedAt;
 };
 
 } // namespace almondpier
--- a/src/decision/proxy/ProxyCore.cpp
+++ b/src/decision/proxy/ProxyCore.cpp
@@ -249,8 +249,6 @@
        Value(Core.m_Board.m_AppliedIndex)},
       {"almondpier_configuration_version", "Number of operator changes",
        Value(Core.m_Board.m_Configuration.version())},
-      {"almondpier_polls_total", "Polls sent to control hosts",
-       Value(Core.m_Configuration.pollsSent())},
       {"almondpier_control_host_changes_total",
        "Changes to another control host",
        Value(Core.m_Configuration.peerChanges())},
@@ -281,6 +279,8 @@
        {Core.m_Forwarding.counters(), Core.m_Admission.counters(),
         Core.m_Owner.counters()})
     Result.insert(Result.end(), Part.begin(), Part.end());
+  for (Counter &Polling : Core.m_Configuration.counters())
+    Result.push_back(std::move(Polling));
   return Result;
 }
 
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -206,8 +206,8 @@
   const State &Core = *m_State;
   Result.push_back({"almondpier_policy_version", "Policy version in force",
                     Value(Core.m_Board.m_Configuration.policy().m_Version)});
-  Result.push_back({"almondpier_polls_total", "Polls sent to control hosts",
-                    Value(Core.m_Configuration.pollsSent())});
+  for (Counter &Polling : Core.m_Configuration.counters())
+    Result.push_back(std::move(Polling));
   Result.push_back({"almondpier_tokens_borrowed_total",
                     "Rate tokens lent to this host",
                     Value(Core.m_Tokens.tokensBorrowed())});
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -157,8 +157,11 @@
       m_Owners.route(Session.m_Policy.m_Database,
                      Pending.m_Target != StatementTarget::CaughtUp,
                      Pending.m_TriedOwners, Now);
-  if (Route.m_Kind == StatementRoute::Kind::Local)
+  if (Route.m_Kind == StatementRoute::Kind::Local) {
+    m_RunWithoutOwner +=
+        m_Board.m_OwnedGroups.contains(Session.m_Policy.m_Database) ? 0 : 1;
     return std::nullopt;
+  }
   if (Route.m_Kind == StatementRoute::Kind::Wait)
     return false;
   sendToOwner(Session, Route.m_Link, Route.m_Host, Now);
@@ -386,6 +389,8 @@
   InstanceName Instance = Connection->m_Instance;
   std::optional<SessionId> Waiting = Connection->m_Session;
   m_Pool.close(Event.m_Connection);
+  m_ConnectionsOverLimit +=
+      Event.m_Error == SessionError::TooManyConnections ? 1 : 0;
   // A rejection for overload or too many connections does not mean that the
   // instance is unreachable.
   if (Event.m_Error == SessionError::TooManyConnections ||
@@ -403,12 +408,14 @@
 
 void StatementExecutor::recordError(const InstanceConnection &Connection,
                                     SessionError Error, Time Now) {
-  if (Error == SessionError::Busy)
+  if (Error == SessionError::Busy) {
+    ++m_OverloadRejections;
     m_Tracker.onOverloaded(Connection.m_Instance, Now);
-  else if (Error == SessionError::ReadOnly)
+  } else if (Error == SessionError::ReadOnly) {
     m_Tracker.onNotPrimary(Connection.m_Instance, Now);
-  else if (Error == SessionError::Lagging)
+  } else if (Error == SessionError::Lagging) {
     m_Tracker.onLagging(Connection.m_Instance, Now);
+  }
 }
 
 void StatementExecutor::onReplied(const InstanceReplied &Event, Time Now) {
@@ -822,6 +829,15 @@
       {"almondpier_statements_at_owners",
        "Forwarded statements without a reply",
        static_cast<double>(m_Forwarder.inFlight())},
+      {"almondpier_statements_without_owner_total",
+       "Attempts to run a statement here because no owner accepted it",
+       static_cast<double>(m_RunWithoutOwner)},
+      {"almondpier_connections_over_limit_total",
+       "Connections that instances rejected as too many",
+       static_cast<double>(m_ConnectionsOverLimit)},
+      {"almondpier_overload_rejections_total",
+       "Statements that instances rejected as overloaded",
+       static_cast<double>(m_OverloadRejections)},
       {"almondpier_statement_retries_total", "Attempts repeated at an instance",
        static_cast<double>(m_Retries)},
       {"almondpier_position_reads_total", "Single reads sent with a position",
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -141,6 +141,11 @@
   uint64_t m_Retries = 0;
   uint64_t m_PositionReads = 0;
   uint64_t m_ConfirmedReads = 0;
+  /// Statements of this host's sessions that ran here although another host is
+  /// preferred as the owner of the group.
+  uint64_t m_RunWithoutOwner = 0;
+  uint64_t m_ConnectionsOverLimit = 0;
+  uint64_t m_OverloadRejections = 0;
 };
 
 } // namespace almondpier
