Show that hosts behind slow links obtain no configuration

The configuration of 300 hosts and 190 organisations has 128,519 bytes, 514 ms of such a link, and a proxy gives a control host 500 ms for all of it.

SessionFleet runs real control cores beside the session cores, and limits links and processors, so that the test needs neither network nor bench.

--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -5,6 +5,8 @@
 
 #include "decision/session/SessionCore.h"
 #include "proxy/FakeControl.h"
+#include "session/ControlCluster.h"
+#include "session/NetworkModel.h"
 
 #include <functional>
 #include <random>
@@ -25,6 +27,15 @@
   Duration m_Work = milliseconds(20);
   Duration m_HopDelay = microseconds(700);
   Duration m_ReplicaLag = milliseconds(8);
+  size_t m_KeysPerOrganisation = 1;
+  /// Routes that no caller uses, for a policy of the usual size.
+  size_t m_IdleRoutes = 0;
+  /// Control hosts that run the real core; without any, FakeControl answers.
+  size_t m_ControlHosts = 0;
+  /// Limits of the links and processors; without them messages take only
+  /// m_HopDelay.
+  std::optional<NodeCapacity> m_HostCapacity;
+  NodeCapacity m_ControlCapacity{12'500, 0.32};
 };
 
 class SessionFleet {
@@ -50,23 +61,48 @@
     size_t m_Executed = 0;
   };
 
-  explicit SessionFleet(const FleetShape &Shape) : m_Shape(Shape) {
+  explicit SessionFleet(const FleetShape &Shape)
+      : m_Shape(Shape), m_Cluster(Shape.m_ControlHosts) {
+    for (size_t Group = 0; Group < Shape.m_Groups; ++Group)
+      for (size_t Member = 0; Member < kInstancesPerGroup; ++Member)
+        addInstance(Group, Member == 0);
+    m_Hosts.resize(Shape.m_Hosts);
+    if (m_Cluster.size() > 0)
+      startWithControlCluster();
+    else
+      startWithFakeControl();
+  }
+
+private:
+  void startWithFakeControl() {
     m_Control.m_Leader = HostName{"c0"};
     m_Control.m_Members = {ControlMember{
         MemberId{1}, HostName{"c0"}, {}, {"127.0.0.1", kControlPort}, {}}};
-    for (size_t Index = 0; Index < Shape.m_Hosts; ++Index)
+    for (size_t Index = 0; Index < m_Shape.m_Hosts; ++Index)
       m_Control.accept(RegisterHost{recordOf(Index)});
-    installPolicy();
-    for (size_t Group = 0; Group < Shape.m_Groups; ++Group)
-      for (size_t Member = 0; Member < kInstancesPerGroup; ++Member)
-        addInstance(Group, Member == 0);
+    m_Control.m_ChunkBytes = 100'000;
+    m_Control.accept(InstallPolicy{makePolicy(1), ""});
     publishDirectory();
-    m_Hosts.resize(Shape.m_Hosts);
-    for (size_t Index = 0; Index < Shape.m_Hosts; ++Index)
+    for (size_t Index = 0; Index < m_Shape.m_Hosts; ++Index)
       start(Index);
     run(milliseconds(700));
   }
+  void startWithControlCluster() {
+    for (size_t Index = 0; Index < m_Cluster.size(); ++Index) {
+      m_Network.setCapacity(kControlBase + Index, m_Shape.m_ControlCapacity);
+      m_Cluster.start(Index, m_Now);
+    }
+    for (size_t Index = 0; Index < m_Shape.m_Hosts; ++Index) {
+      if (m_Shape.m_HostCapacity)
+        m_Network.setCapacity(Index, *m_Shape.m_HostCapacity);
+      start(Index);
+    }
+    runUntil([&] { return m_Cluster.leader().has_value(); });
+    installPolicy(1);
+    runUntil([&] { return readyHosts() == m_Shape.m_Hosts; });
+  }
 
+public:
   // Hosts.
 
   void start(size_t Index) {
@@ -74,6 +110,10 @@
     Options.m_Host = recordOf(Index);
     Options.m_FleetSecret = "0123456789abcdef";
     Options.m_ControlPeers = {{"127.0.0.1", kControlPort}};
+    Options.m_Seed = Index;
+    Options.m_Incarnation = ++m_LastIncarnation;
+    for (size_t Seed = 1; Seed < std::min<size_t>(3, m_Cluster.size()); ++Seed)
+      Options.m_ControlPeers.push_back(m_Cluster.member(Seed).m_Peer);
     m_Hosts[Index].m_Core = std::make_unique<SessionCore>(
         Options,
         SessionLimits::fromBounds(milliseconds(5'000), milliseconds(6'000)),
@@ -97,6 +137,34 @@
     for (const auto &Id : Connections)
       closeConnection(Id);
   }
+  /// All hosts and control hosts lose power and start again after Down, spread
+  /// over Spread. Instances keep the connections of the lost hosts for a while.
+  void losePower(Duration Down, Duration Spread) {
+    ++m_Epoch;
+    m_Links.clear();
+    for (auto &[Key, Open] : m_Connections)
+      scheduleAlways(kLinger, [this, Target = Open.m_Instance] {
+        --m_Instances[Target]->m_Connections;
+      });
+    m_Connections.clear();
+    for (Session &Open : m_Sessions)
+      Open.m_IsClosed = true;
+    std::mt19937 Random(11);
+    auto Startup = [&] {
+      return Down + Spread * static_cast<int64_t>(Random() % 1'000) / 1'000;
+    };
+    for (size_t Index = 0; Index < m_Hosts.size(); ++Index) {
+      m_Network.reset(Index);
+      m_Hosts[Index].m_IsRunning = false;
+      scheduleAlways(Startup(), [this, Index] { start(Index); });
+    }
+    for (size_t Index = 0; Index < m_Cluster.size(); ++Index) {
+      m_Network.reset(kControlBase + Index);
+      m_Cluster.stop(Index);
+      scheduleAlways(Startup(),
+                     [this, Index] { m_Cluster.start(Index, m_Now); });
+    }
+  }
   /// While frozen, a host handles nothing; its input waits.
   void setFrozen(size_t Index, bool IsFrozen) {
     m_Hosts[Index].m_IsFrozen = IsFrozen;
@@ -106,6 +174,15 @@
          std::exchange(m_Hosts[Index].m_Delayed, {}))
       handle(Index, Event);
   }
+  bool isReady(size_t Index) const {
+    return m_Hosts[Index].m_IsRunning && m_Hosts[Index].m_Core->isReady(m_Now);
+  }
+  size_t readyHosts() const {
+    size_t Count = 0;
+    for (size_t Index = 0; Index < m_Hosts.size(); ++Index)
+      Count += isReady(Index) ? 1 : 0;
+    return Count;
+  }
   void shutDown(size_t Index) { handle(Index, ShutdownRequested{}); }
   bool isShutDown(size_t Index) const { return m_Hosts[Index].m_IsShutDown; }
   /// Returns the host with the most statements served for others.
@@ -136,8 +213,9 @@
               size_t Organisation = 0) {
     Session Opened{Host, SessionId{++m_LastSession}, {}, false};
     m_Sessions.push_back(Opened);
-    handle(Host, SessionOpened{Opened.m_Id, routeOf(Guarantee, Group),
-                               digestOfKey(keyOf(Organisation))});
+    process(Host, kStatementBytes,
+            SessionOpened{Opened.m_Id, routeOf(Guarantee, Group),
+                          digestOfKey(keyOf(Organisation))});
     return m_Sessions.size() - 1;
   }
   void close(size_t Index) {
@@ -151,8 +229,8 @@
   }
   void sendStatement(size_t Index, Statement Sent) {
     Sent.m_RequestId = "r" + std::to_string(++m_LastRequest);
-    handle(m_Sessions[Index].m_Host,
-           StatementReceived{m_Sessions[Index].m_Id, std::move(Sent)});
+    process(m_Sessions[Index].m_Host, kStatementBytes,
+            StatementReceived{m_Sessions[Index].m_Id, std::move(Sent)});
   }
   StatementReply sendAndWait(size_t Index, StatementKind Kind,
                              const std::string &Text = "") {
@@ -174,6 +252,13 @@
 
   // Time.
 
+  /// Runs until Condition holds; returns whether it held within Limit.
+  bool runUntil(const std::function<bool()> &Condition,
+                Duration Limit = std::chrono::seconds(20)) {
+    for (Time End = m_Now + Limit; m_Now < End && !Condition();)
+      run(milliseconds(50));
+    return Condition();
+  }
   void run(Duration Time) {
     for (almondpier::Time End = m_Now + Time; m_Now < End;) {
       m_Now += milliseconds(1);
@@ -185,8 +270,14 @@
       if (++m_Steps % 5 != 0)
         continue;
       for (size_t Index = 0; Index < m_Hosts.size(); ++Index)
-        if (m_Hosts[Index].m_IsRunning && !m_Hosts[Index].m_IsFrozen)
+        if (m_Hosts[Index].m_IsRunning && !m_Hosts[Index].m_IsFrozen &&
+            !isBusy(Index))
           handle(Index, Tick{});
+      for (size_t Index = 0; Index < m_Cluster.size(); ++Index)
+        if (!isBusy(kControlBase + Index))
+          handleControl(Index, ClockTick{m_Steps});
+      if (m_Cluster.size() > 0 && m_Steps % kCheckInMs == 0)
+        checkIn();
     }
   }
   void handle(size_t Index, const SessionEvent &Event) {
@@ -206,6 +297,13 @@
       std::visit([&](const auto &Typed) { on(Index, Typed); }, Action);
   }
 
+  /// Installs a policy of the given version at the leader.
+  void installPolicy(uint64_t Version) {
+    handleControl(*m_Cluster.leader(),
+                  PolicySubmitted{OperationId{++m_LastOperation},
+                                  InstallPolicy{makePolicy(Version), ""}});
+  }
+
   Instance &instance(size_t Group, size_t Member) {
     return *m_Instances[Group * kInstancesPerGroup + Member];
   }
@@ -213,6 +311,8 @@
   Instance &instanceAt(size_t Index) { return *m_Instances[Index]; }
 
   FleetShape m_Shape;
+  ControlCluster m_Cluster;
+  NetworkModel m_Network;
   Time m_Now{std::chrono::hours(1)};
   FakeControl m_Control;
   std::vector<Session> m_Sessions;
@@ -222,14 +322,21 @@
   std::function<bool(size_t, size_t, const Message &)> m_DropsMessage;
   std::vector<std::string> m_Decisions;
 
+  /// Index of the first control host among the nodes of the network.
+  static constexpr size_t kControlBase = 100'000;
+
 private:
+  /// Instances notice the loss of a peer after this time.
+  static constexpr Duration kLinger = std::chrono::seconds(3);
+  static constexpr uint64_t kCheckInMs = 1'200;
+  static constexpr size_t kStatementBytes = 100;
+
   struct Host {
     std::unique_ptr<SessionCore> m_Core;
     bool m_IsRunning = false;
     bool m_IsFrozen = false;
     bool m_IsShutDown = false;
     std::vector<SessionEvent> m_Delayed;
-    uint64_t m_LastAcceptedLink = 0;
   };
   struct Connection {
     size_t m_Instance = 0;
@@ -240,8 +347,9 @@
   using LinkEnd = std::pair<size_t, LinkId>;
   using ConnectionKey = std::pair<size_t, ConnectionId>;
 
-  static std::string keyOf(size_t Organisation) {
-    return "key-" + std::to_string(Organisation);
+  static std::string keyOf(size_t Organisation, size_t Number = 0) {
+    return "key-" + std::to_string(Organisation) +
+           (Number == 0 ? "" : "-" + std::to_string(Number));
   }
   static DatabaseName groupName(size_t Group) {
     return DatabaseName{"races" + std::to_string(Group)};
@@ -255,13 +363,16 @@
                       {"127.0.0.1", static_cast<uint16_t>(kHostPort + Index)}};
   }
 
-  void installPolicy() {
+  FleetPolicy makePolicy(uint64_t Version) const {
     FleetPolicy Policy;
-    Policy.m_Version = 1;
-    for (size_t Index = 0; Index < m_Shape.m_Organisations; ++Index)
-      Policy.m_Organisations[OrganisationName{"o" + std::to_string(Index)}] =
-          OrganisationPolicy{{digestOfKey(keyOf(Index))},
-                             Limit{100'000, 100'000}};
+    Policy.m_Version = Version;
+    for (size_t Index = 0; Index < m_Shape.m_Organisations; ++Index) {
+      OrganisationPolicy &Added =
+          Policy.m_Organisations[OrganisationName{"o" + std::to_string(Index)}];
+      for (size_t Key = 0; Key < m_Shape.m_KeysPerOrganisation; ++Key)
+        Added.m_Keys.push_back(digestOfKey(keyOf(Index, Key)));
+      Added.m_Limit = Limit{100'000, 100'000};
+    }
     for (size_t Group = 0; Group < m_Shape.m_Groups; ++Group) {
       Policy.m_Groups[groupName(Group)] =
           GroupPolicy{m_Shape.m_ConnectionLimit, 0};
@@ -275,9 +386,11 @@
       Route.m_Guarantee = ReadGuarantee::ReadYourWrites;
       Policy.m_Routes[routeOf("own", Group)] = Route;
     }
+    for (size_t Index = 0; Index < m_Shape.m_IdleRoutes; ++Index)
+      Policy.m_Routes[routeOf("idle", Index)] =
+          Policy.m_Routes.at(routeOf("own", 0));
     Policy.m_TransactionIdleMs = 3'000;
-    m_Control.m_ChunkBytes = 100'000;
-    m_Control.accept(InstallPolicy{Policy, ""});
+    return Policy;
   }
 
   void addInstance(size_t Group, bool IsPrimary) {
@@ -303,28 +416,108 @@
       m_Control.m_Directory.m_Instances.push_back(Known->m_Description);
   }
 
-  void schedule(Duration After, std::function<void()> Action) {
+  void scheduleAlways(Duration After, std::function<void()> Action) {
     m_Scheduled.emplace(m_Now + After, std::move(Action));
   }
+  /// A loss of power before it is due cancels Action.
+  void schedule(Duration After, std::function<void()> Action) {
+    scheduleAlways(After, [this, Epoch = m_Epoch, Action = std::move(Action)] {
+      if (Epoch == m_Epoch)
+        Action();
+    });
+  }
+
+  // Capacity.
+
+  bool hasCapacityLimits() const { return m_Shape.m_HostCapacity.has_value(); }
+  bool isBusy(size_t Node) {
+    return hasCapacityLimits() && m_Network.isBusy(Node, m_Now);
+  }
+  /// Handles an event of a host once its processor is free.
+  void process(size_t Index, size_t Bytes, const SessionEvent &Event) {
+    if (!hasCapacityLimits())
+      return handle(Index, Event);
+    schedule(m_Network.process(Index, Bytes, m_Now) - m_Now,
+             [this, Index, Event] { handle(Index, Event); });
+  }
+  /// Handles an event of a link once the network has delivered it.
+  template <typename Event>
+  void deliver(size_t From, const LinkEnd &To, size_t Bytes, Duration Hop,
+               const Event &Delivered) {
+    if (!hasCapacityLimits())
+      return schedule(Hop, [this, To, Delivered] { hand(To, Delivered); });
+    Time At = m_Network.deliver(From, To.first, Bytes, Hop, m_Now);
+    schedule(At - m_Now, [this, To, Bytes, Delivered] {
+      schedule(m_Network.process(To.first, Bytes, m_Now) - m_Now,
+               [this, To, Delivered] { hand(To, Delivered); });
+    });
+  }
+  template <typename Event> void hand(const LinkEnd &To, const Event &Handed) {
+    if (std::is_same_v<Event, MessageReceived> && !m_Links.contains(To))
+      return;
+    if (To.first >= kControlBase)
+      handleControl(To.first - kControlBase, Handed);
+    else if constexpr (std::is_constructible_v<SessionEvent, Event>)
+      handle(To.first, Handed);
+  }
+
+  // Control hosts.
+
+  void handleControl(size_t Index, const ControlEvent &Event) {
+    for (const ControlAction &Action : m_Cluster.handle(Index, Event, m_Now)) {
+      size_t Node = kControlBase + Index;
+      if (const OpenLink *Open = std::get_if<OpenLink>(&Action))
+        on(Node, *Open);
+      else if (const CloseLink *Close = std::get_if<CloseLink>(&Action))
+        on(Node, *Close);
+      else if (const SendMessage *Send = std::get_if<SendMessage>(&Action))
+        on(Node, *Send);
+    }
+  }
+  void checkIn() {
+    std::optional<size_t> Leader = m_Cluster.leader();
+    for (size_t Index = 0; Leader && Index < m_Instances.size(); ++Index)
+      handleControl(*Leader,
+                    InstanceCheckedIn{OperationId{++m_LastOperation},
+                                      {m_Instances[Index]->m_Description,
+                                       ++m_LastCheckIn, false}});
+  }
+  void on(size_t Index, const SendDatagram &Action) {
+    if (m_Cluster.size() == 0)
+      return;
+    LinkEnd To{kControlBase + Action.m_Peer.m_Port - kControlPort, {}};
+    deliver(Index, To, encode(Action.m_Message).size(), m_Shape.m_HopDelay,
+            DatagramReceived{{}, Action.m_Message});
+  }
 
   // Links.
 
   void on(size_t Index, const OpenLink &Action) {
     LinkEnd End{Index, Action.m_Link};
-    if (Action.m_Peer.m_Port == kControlPort)
+    uint16_t Port = Action.m_Peer.m_Port;
+    bool IsToControl = Port < kHostPort;
+    if (IsToControl && m_Cluster.size() == 0)
       return schedule(milliseconds(1), [this, End] {
         handle(End.first, LinkOpened{End.second});
       });
-    size_t Peer = Action.m_Peer.m_Port - size_t{kHostPort};
-    schedule(2 * m_Shape.m_HopDelay, [this, End, Peer] {
-      if (!m_Hosts[Peer].m_IsRunning)
-        return handle(End.first, LinkClosed{End.second, "refused"});
-      LinkEnd Accepted{Peer, LinkId{m_Hosts[Peer].m_LastAcceptedLink += 2}};
-      m_Links[End] = Accepted;
-      m_Links[Accepted] = End;
-      handle(End.first, LinkOpened{End.second});
-      handle(Peer, LinkOpened{Accepted.second});
-    });
+    size_t Peer = IsToControl ? kControlBase + Port - kControlPort
+                              : Port - size_t{kHostPort};
+    schedule(2 * m_Shape.m_HopDelay, [this, End, Peer] { connect(End, Peer); });
+  }
+  void connect(const LinkEnd &End, size_t Peer) {
+    bool IsRunning = Peer >= kControlBase
+                         ? m_Cluster.isRunning(Peer - kControlBase)
+                         : m_Hosts[Peer].m_IsRunning;
+    if (!IsRunning)
+      return hand(End, LinkClosed{End.second, "refused"});
+    LinkEnd Accepted{Peer, LinkId{m_LastAcceptedLink[Peer] += 2}};
+    m_Links[End] = Accepted;
+    m_Links[Accepted] = End;
+    // Both sides send a nonce and a first frame before the link is up.
+    deliver(Peer, End, kHandshakeBytes, m_Shape.m_HopDelay,
+            LinkOpened{End.second});
+    deliver(End.first, Accepted, kHandshakeBytes, m_Shape.m_HopDelay,
+            LinkOpened{Accepted.second});
   }
   void closeLink(const LinkEnd &End) {
     auto Found = m_Links.find(End);
@@ -334,7 +527,7 @@
     m_Links.erase(Found);
     m_Links.erase(Peer);
     schedule(m_Shape.m_HopDelay, [this, Peer] {
-      handle(Peer.first, LinkClosed{Peer.second, "reset"});
+      hand(Peer, LinkClosed{Peer.second, "reset"});
     });
   }
   void on(size_t Index, const CloseLink &Action) {
@@ -344,14 +537,14 @@
     LinkEnd End{Index, Action.m_Link};
     auto Found = m_Links.find(End);
     if (Found == m_Links.end())
-      return sendToControl(End, Action.m_Message);
+      return m_Cluster.size() > 0 ? void()
+                                  : sendToControl(End, Action.m_Message);
     LinkEnd Peer = Found->second;
     if (m_DropsMessage && m_DropsMessage(Index, Peer.first, Action.m_Message))
       return;
-    schedule(m_Shape.m_HopDelay, [this, Peer, Sent = Action.m_Message] {
-      if (m_Links.contains(Peer))
-        handle(Peer.first, MessageReceived{Peer.second, Sent});
-    });
+    size_t Bytes = hasCapacityLimits() ? encode(Action.m_Message).size() : 0;
+    deliver(Index, Peer, Bytes, m_Shape.m_HopDelay,
+            MessageReceived{Peer.second, Action.m_Message});
   }
   void sendToControl(const LinkEnd &End, const Message &Sent) {
     std::vector<Message> Replies;
@@ -405,11 +598,13 @@
   }
   void occupySlot(size_t Target, Duration Work, std::function<void()> Done) {
     Instance &Worker = *m_Instances[Target];
-    std::function<void()> Start = [this, Target, Work, Done = std::move(Done)] {
-      schedule(Work, [this, Target, Done] {
+    std::function<void()> Start = [this, Target, Work, Epoch = m_Epoch,
+                                   Done = std::move(Done)] {
+      scheduleAlways(Work, [this, Target, Epoch, Done] {
         Instance &Freed = *m_Instances[Target];
         --Freed.m_Busy;
-        Done();
+        if (Epoch == m_Epoch)
+          Done();
         if (Freed.m_Queue.empty() || Freed.m_Busy >= m_Shape.m_Slots)
           return;
         std::function<void()> Next = std::move(Freed.m_Queue.front());
@@ -443,7 +638,8 @@
     std::function<void()> Answer = [this, Key, Reply] {
       schedule(m_Shape.m_HopDelay, [this, Key, Reply] {
         if (m_Connections.contains(Key))
-          handle(Key.first, InstanceReplied{Key.second, Reply});
+          process(Key.first, kStatementBytes,
+                  InstanceReplied{Key.second, Reply});
       });
     };
     if (Receiver.m_IsPrimary)
@@ -515,6 +711,10 @@
     if (Session *Found = sessionOf(Action.m_Session))
       Found->m_Replies.push_back(Action.m_Reply);
   }
+  void on(size_t /*Index*/, const RefuseSession &Action) {
+    if (Session *Found = sessionOf(Action.m_Session))
+      Found->m_IsClosed = true;
+  }
   void on(size_t /*Index*/, const CloseSession &Action) {
     if (Session *Found = sessionOf(Action.m_Session))
       Found->m_IsClosed = true;
@@ -533,6 +733,14 @@
   std::vector<std::unique_ptr<Instance>> m_Instances;
   std::map<LinkEnd, LinkEnd> m_Links;
   std::map<ConnectionKey, Connection> m_Connections;
+  static constexpr size_t kHandshakeBytes = 150;
+
+  /// Counts losses of power.
+  uint64_t m_Epoch = 0;
+  std::map<size_t, uint64_t> m_LastAcceptedLink;
+  uint64_t m_LastIncarnation = 0;
+  uint64_t m_LastOperation = 0;
+  uint64_t m_LastCheckIn = 0;
   uint64_t m_LastSession = 0;
   uint64_t m_LastRequest = 0;
   uint64_t m_Steps = 0;
