Send the configuration in parts that fit through slow links

The proxy gave up, dropped what it had and asked the next control host for all of it. The repeats filled links and processors of the control hosts, which then lost their majorities. The class of fault: a retry after a timeout that does not depend on progress, starting from zero, at a place that all others use.

Ruled out: connections of hosts that are no owners, and concurrency limits; no host got as far as needing either.

Proxies of earlier builds, and those that route by live hosts, get parts without asking, as before, in pieces of 32 KB instead of 256 KB; a new proxy understands both.

--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -13,8 +13,13 @@
 constexpr uint16_t kProtocolVersion = 1;
 /// Maximum size of an encoded message in bytes.
 constexpr size_t kMaxMessageBytes = 1U << 20U;
-/// Maximum size of the snapshot chunk in one message, in bytes.
+/// Maximum size of the snapshot chunk in one message between control hosts, in
+/// bytes.
 constexpr size_t kMaxSnapshotChunkBytes = 256U << 10U;
+/// Maximum size of what one message tells a proxy about the configuration, in
+/// bytes. It takes 131 ms of a link of 2 Mbit/s, a quarter of the time after
+/// which a proxy asks another control host.
+constexpr size_t kMaxConfigurationPartBytes = 32U << 10U;
 /// Maximum size of a UDP datagram in bytes, chosen to fit in one Ethernet
 /// frame.
 constexpr size_t kMaxDatagramBytes = 1'400;
@@ -340,10 +345,12 @@
 
 // Messages between proxies and control hosts.
 
-/// Value of PollRequest::m_LiveHostsTerm in polls without m_WantsLiveHosts: the
-/// sender applies amendments of the policy. Control hosts of earlier versions
-/// ignore the field in such polls.
+/// Values of PollRequest::m_LiveHostsTerm in polls without m_WantsLiveHosts.
+/// Control hosts of earlier versions ignore the field in such polls.
+/// The sender applies amendments of the policy.
 constexpr uint64_t kAppliesPolicyAmendments = 1;
+/// The sender also requests the parts of a snapshot one by one.
+constexpr uint64_t kRequestsSnapshotParts = 2;
 
 struct PollRequest {
   HostRecord m_Host;
@@ -377,8 +384,9 @@
   /// Accepted changes since the index of the request, in order. Empty when
   /// m_Snapshot is set.
   std::vector<Change> m_Changes;
-  /// Encoded configuration, split into chunks when it does not fit in one
-  /// message.
+  /// Encoded configuration, split into parts. With m_SnapshotBytes and without
+  /// m_Snapshot, the reply offers the snapshot with m_AppliedIndex, whose parts
+  /// the proxy requests.
   std::string m_Snapshot;
   uint64_t m_SnapshotOffset = 0;
   uint64_t m_SnapshotBytes = 0;
@@ -409,6 +417,29 @@
     Ar(m_Organisation, m_Waiting, m_Prefetch);
   }
 };
+/// Requests the part at m_Offset of a snapshot that a PollReply offered.
+struct ConfigurationPartRequest {
+  uint64_t m_Index = 0;
+  uint64_t m_Offset = 0;
+
+  friend auto operator<=>(const ConfigurationPartRequest &,
+                          const ConfigurationPartRequest &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Index, m_Offset);
+  }
+};
+/// Without m_Bytes, the sender does not hold the snapshot.
+struct ConfigurationPart {
+  uint64_t m_Index = 0;
+  uint64_t m_Offset = 0;
+  std::string m_Bytes;
+
+  friend auto operator<=>(const ConfigurationPart &,
+                          const ConfigurationPart &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Index, m_Offset, m_Bytes);
+  }
+};
 struct TokenRequest {
   HostName m_Host;
   uint64_t m_Sequence = 0;
@@ -735,7 +766,8 @@
                  Heartbeat, HeartbeatNonce, ForwardRequest, ForwardReply,
                  ForwardCancel, InstanceCheckIn, MembersRequest, MembersReply,
                  ForwardedStatement, ForwardedStatementReply,
-                 ForwardedSessionEnd, OwnerStatus>;
+                 ForwardedSessionEnd, OwnerStatus, ConfigurationPartRequest,
+                 ConfigurationPart>;
 
 /// Returns a hash to compare lists of members; never 0.
 uint64_t digestOf(const std::vector<ControlMember> &Members);
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -437,6 +437,10 @@
     m_Liveness.onHostRecord(Message.m_Host, Context);
     m_Feed.onPoll(Link, Message, Context.m_Now);
   }
+  void onMessage(LinkId Link, const ConfigurationPartRequest &Message,
+                 ControlContext &Context) {
+    m_Feed.onPartRequest(Link, Message, Context);
+  }
   void onMessage(LinkId Link, const TokenRequest &Message,
                  ControlContext &Context) {
     m_Allocator.onRequest(Link, Message, Context);
--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -15,8 +15,8 @@
 /// A proxy asks another control host after 500 ms without an answer.
 constexpr Duration kWaitLimit = std::chrono::milliseconds(1'000);
 constexpr uint64_t kKeptEntries = 2'000;
-/// Larger differences are sent as a snapshot in chunks.
-constexpr size_t kMaxChangesBytes = kMaxSnapshotChunkBytes;
+/// Larger differences are sent as a snapshot in parts.
+constexpr size_t kMaxChangesBytes = kMaxConfigurationPartBytes;
 
 } // namespace
 
@@ -24,6 +24,11 @@
   m_Waiting.push_back(Waiter{Now, PollWaiter{Link, Poll}});
 }
 
+void FeedController::onLinkClosed(LinkId Link) {
+  m_SentLists.erase(Link);
+  m_Snapshots.onLinkClosed(Link);
+}
+
 void FeedController::onRead(OperationId Id, Time Now) {
   m_Waiting.push_back(Waiter{Now, ReadWaiter{Id}});
 }
@@ -44,6 +49,7 @@
         m_Waiting.push_back(std::move(Waiter));
     m_Batches.clear();
   }
+  m_Snapshots.tick(Context);
   dropLate(Context);
   answerReady(Context);
   Duration Interval =
@@ -198,10 +204,25 @@
     Reply.m_ControlMembers = Members;
   if (addChanges(Poll, Reply))
     Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
+  else if (!Poll.m_WantsLiveHosts &&
+           Poll.m_LiveHostsTerm == kRequestsSnapshotParts)
+    offerSnapshot(Waiter.m_Link, std::move(Reply), Context);
   else
     sendSnapshot(Waiter.m_Link, std::move(Reply), Context);
 }
 
+void FeedController::offerSnapshot(LinkId Link, PollReply Reply,
+                                   ControlContext &Context) {
+  uint64_t ChangedAt =
+      m_Changes.empty() ? m_ChangesAfter : m_Changes.back().m_Index;
+  SnapshotServer::Offer Offer =
+      m_Snapshots.offer(m_Board.configuration(), ChangedAt, Context.m_Now);
+  Reply.m_AppliedIndex = Offer.m_Index;
+  Reply.m_SnapshotBytes = Offer.m_Bytes;
+  Reply.m_Changes.clear();
+  Context.m_Actions.push_back(SendMessage{Link, std::move(Reply)});
+}
+
 bool FeedController::addChanges(const PollRequest &Poll,
                                 PollReply &Reply) const {
   uint64_t Since = Poll.m_AppliedIndex;
@@ -210,7 +231,8 @@
       Since > m_Board.m_State.appliedIndex())
     return false;
   bool AppliesAmendments = !Poll.m_WantsLiveHosts &&
-                           Poll.m_LiveHostsTerm == kAppliesPolicyAmendments;
+                           (Poll.m_LiveHostsTerm == kAppliesPolicyAmendments ||
+                            Poll.m_LiveHostsTerm == kRequestsSnapshotParts);
   size_t Bytes = 0;
   bool NeedsWholePolicy = false;
   auto First = m_Changes.end();
@@ -244,12 +266,13 @@
   }
   Reply.m_SnapshotBytes = m_Snapshot.size();
   for (size_t Offset = 0; Offset < m_Snapshot.size();
-       Offset += kMaxSnapshotChunkBytes) {
+       Offset += kMaxConfigurationPartBytes) {
     Reply.m_SnapshotOffset = Offset;
-    Reply.m_Snapshot = m_Snapshot.substr(Offset, kMaxSnapshotChunkBytes);
-    m_SnapshotBytesSent += Reply.m_Snapshot.size();
+    Reply.m_Snapshot = m_Snapshot.substr(Offset, kMaxConfigurationPartBytes);
+    m_PushedBytes += Reply.m_Snapshot.size();
     Context.m_Actions.push_back(SendMessage{Link, Reply});
     Reply.m_LiveHosts.reset();
+    Reply.m_Directory.reset();
   }
 }
 
@@ -284,6 +307,7 @@
   m_ChangesAfter = m_Board.m_State.appliedIndex();
   m_LatestPolicy = m_Board.configuration().policy();
   m_Snapshot.clear();
+  m_Snapshots.clear();
 }
 
 } // namespace almondpier
--- a/src/decision/control/FeedController.h
+++ b/src/decision/control/FeedController.h
@@ -3,7 +3,7 @@
 /// followers, and reads by operators.
 #pragma once
 
-#include "decision/control/ControlBlackboard.h"
+#include "decision/control/SnapshotServer.h"
 
 #include <deque>
 
@@ -17,6 +17,10 @@
   explicit FeedController(ControlBlackboard &Board) : m_Board(Board) {}
 
   void onPoll(LinkId Link, const PollRequest &Poll, Time Now);
+  void onPartRequest(LinkId Link, const ConfigurationPartRequest &Request,
+                     ControlContext &Context) {
+    m_Snapshots.onRequest(Link, Request, Context);
+  }
   void onRead(OperationId Id, Time Now);
   /// A follower asks the leader.
   void onReadIndexRequest(LinkId Link, const ReadIndexRequest &Request,
@@ -27,13 +31,15 @@
   void onFailedRead(uint64_t Read);
   void onAccepted(uint64_t Index, const Change &Change);
   void onSnapshotInstalled();
-  void onLinkClosed(LinkId Link) { m_SentLists.erase(Link); }
+  void onLinkClosed(LinkId Link);
   void tick(ControlContext &Context);
   /// A request to send to the leader, at a follower.
   std::optional<ReadIndexRequest> takeLeaderRequest();
   uint64_t answeredPolls() const { return m_AnsweredPolls; }
   uint64_t droppedPolls() const { return m_DroppedPolls; }
-  uint64_t snapshotBytesSent() const { return m_SnapshotBytesSent; }
+  uint64_t snapshotBytesSent() const {
+    return m_PushedBytes + m_Snapshots.bytesSent();
+  }
 
 private:
   struct PollWaiter {
@@ -66,6 +72,7 @@
   void answerFollower(const FollowerWaiter &Waiter, uint64_t Index,
                       ControlContext &Context);
   bool addChanges(const PollRequest &Poll, PollReply &Reply) const;
+  void offerSnapshot(LinkId Link, PollReply Reply, ControlContext &Context);
   void sendSnapshot(LinkId Link, PollReply Reply, ControlContext &Context);
 
   ControlBlackboard &m_Board;
@@ -88,6 +95,8 @@
   /// The policy after the last of m_Changes.
   FleetPolicy m_LatestPolicy;
   uint64_t m_ChangesAfter = 0;
+  /// Serves proxies that request parts.
+  SnapshotServer m_Snapshots;
   std::string m_Snapshot;
   uint64_t m_SnapshotIndex = 0;
   /// Term and version of the lists last sent on a link to a follower.
@@ -98,7 +107,8 @@
   std::map<LinkId, SentVersions> m_SentLists;
   uint64_t m_AnsweredPolls = 0;
   uint64_t m_DroppedPolls = 0;
-  uint64_t m_SnapshotBytesSent = 0;
+  /// Bytes of snapshots sent to proxies that do not request parts.
+  uint64_t m_PushedBytes = 0;
 };
 
 } // namespace almondpier
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -38,7 +38,7 @@
     m_AnswerDueSince = Now;
     m_Links.acquire(currentPeer(), LinkUse::Poll, Now);
   }
-  if (Now - *m_AnswerDueSince >= kPollTimeout)
+  if (Now - *m_AnswerDueSince >= (m_AwaitsPart ? kPartTimeout : kPollTimeout))
     return onPollTimeout(Now);
   bool IsDown = m_Links.stateOf(currentPeer()) == LinkState::Down;
   if (IsDown && Now - m_LastPeerChange >= kMinPeerChangeInterval)
@@ -50,11 +50,13 @@
   // A reply that is still on its way makes another one for the same changes
   // superfluous: on a slow link they would delay each other.
   bool IsAnswered = m_OutstandingPolls.empty();
-  if (!IsNewLink && (!IsAnswered || Now - m_LastPoll < kPollInterval))
+  bool IsDue = IsAnswered && !m_AwaitsPart && Now - m_LastPoll >= kPollInterval;
+  if (!IsNewLink && !IsDue)
     return;
   // Poll without delay on a new link.
   if (IsNewLink) {
     m_OutstandingPolls.clear();
+    m_AwaitsPart = false;
     m_AnswerDueSince = Now;
   }
   m_PolledLink = Link;
@@ -71,7 +73,8 @@
         " did not answer a poll in time (" + std::to_string(m_PollTimeouts) +
         " timeouts so far); configuration at index " +
         std::to_string(m_Board.m_AppliedIndex) + ", " +
-        std::to_string(m_PartialSnapshot.size()) +
+        std::to_string(m_Transfer ? m_Transfer->receivedBytes()
+                                  : m_PartialSnapshot.size()) +
         " bytes of a snapshot received"});
   }
   pollNextPeer(Now);
@@ -89,6 +92,7 @@
   m_PolledLink.reset();
   m_OutstandingPolls.clear();
   m_PartialSnapshot.clear();
+  m_AwaitsPart = false;
   ++m_PeerChanges;
   m_Links.acquire(currentPeer(), LinkUse::Poll, Now);
 }
@@ -101,7 +105,7 @@
       Link,
       PollRequest{m_Host, m_Incarnation, m_Sequence, Base,
                   m_WantsLiveHosts ? m_Board.m_LiveHosts.m_Term
-                                   : kAppliesPolicyAmendments,
+                                   : kRequestsSnapshotParts,
                   m_Board.m_LiveHosts.m_Version, m_Board.m_Directory.m_Term,
                   m_Board.m_Directory.m_Version, m_WantsLiveHosts,
                   m_Members.empty() ? 0 : digestOf(m_Members)}});
@@ -119,6 +123,9 @@
   Poll Answered = *Found;
   updateMembers(Reply);
   updateLiveHosts(Reply);
+  bool IsOffer = Reply.m_SnapshotBytes > 0 && Reply.m_Snapshot.empty();
+  if (IsOffer)
+    return startTransfer(Link, Reply, Now);
   bool IsUpToDate = Reply.m_SnapshotBytes == 0 ? applyChanges(Answered, Reply)
                                                : applySnapshot(Reply);
   bool HasMoreParts =
@@ -139,6 +146,42 @@
   preferOwnZone(Now);
 }
 
+void ConfigurationController::startTransfer(LinkId Link, const PollReply &Offer,
+                                            Time Now) {
+  m_OutstandingPolls.clear();
+  m_AnswerDueSince = Now;
+  m_AwaitsPart = true;
+  if (!m_Transfer ||
+      !m_Transfer->isOf(Offer.m_AppliedIndex, Offer.m_SnapshotBytes))
+    m_Transfer.emplace(Offer.m_AppliedIndex, Offer.m_SnapshotBytes);
+  m_Actions.push_back(SendMessage{Link, m_Transfer->nextRequest()});
+}
+
+void ConfigurationController::onConfigurationPart(LinkId Link,
+                                                  const ConfigurationPart &Part,
+                                                  Time Now) {
+  if (m_PolledLink != Link || !m_Transfer || !m_AwaitsPart)
+    return;
+  SnapshotTransfer::Progress Progress = m_Transfer->add(Part);
+  if (Progress == SnapshotTransfer::Progress::Ignored)
+    return;
+  m_AnswerDueSince = Now;
+  if (Progress == SnapshotTransfer::Progress::Incomplete) {
+    m_SnapshotBytesReceived += Part.m_Bytes.size();
+    m_Actions.push_back(SendMessage{Link, m_Transfer->nextRequest()});
+    return;
+  }
+  if (Progress == SnapshotTransfer::Progress::Complete) {
+    m_SnapshotBytesReceived += Part.m_Bytes.size();
+    applySnapshot(m_Transfer->takeBytes(), m_Transfer->index());
+  }
+  m_Transfer.reset();
+  m_AwaitsPart = false;
+  // The answer brings what has changed since, and proves that nothing is
+  // missing.
+  sendPoll(Link, Now);
+}
+
 void ConfigurationController::onMembersReply(LinkId Link,
                                              const MembersReply &Reply,
                                              Time Now) {
@@ -191,7 +234,12 @@
     return false;
   std::string Encoded = std::move(m_PartialSnapshot);
   m_PartialSnapshot.clear();
-  if (Reply.m_AppliedIndex < m_Board.m_AppliedIndex)
+  return applySnapshot(Encoded, Reply.m_AppliedIndex);
+}
+
+bool ConfigurationController::applySnapshot(const std::string &Encoded,
+                                            uint64_t Index) {
+  if (Index < m_Board.m_AppliedIndex)
     return !m_NeedsSnapshot;
   try {
     m_Board.m_Configuration = decodeConfiguration(Encoded);
@@ -201,7 +249,7 @@
         Failure.what()});
     return false;
   }
-  m_Board.m_AppliedIndex = Reply.m_AppliedIndex;
+  m_Board.m_AppliedIndex = Index;
   m_NeedsSnapshot = false;
   m_Changed = true;
   ++m_SnapshotsApplied;
--- a/src/decision/proxy/ConfigurationController.h
+++ b/src/decision/proxy/ConfigurationController.h
@@ -4,6 +4,7 @@
 
 #include "decision/Counter.h"
 #include "decision/proxy/LinkTable.h"
+#include "decision/proxy/SnapshotTransfer.h"
 
 #include <deque>
 
@@ -14,6 +15,10 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(250);
 /// Another control host is polled after this time without an answer.
 constexpr Duration kPollTimeout = std::chrono::milliseconds(500);
+/// Another control host is polled after this time without a part of a snapshot.
+/// Control hosts let requests for parts wait for one another, because the
+/// transfer would begin anew elsewhere.
+constexpr Duration kPartTimeout = std::chrono::milliseconds(1'500);
 
 class ConfigurationController {
 public:
@@ -22,6 +27,8 @@
 
   void tick(Time Now);
   void onPollReply(LinkId Link, const PollReply &Reply, Time Now);
+  void onConfigurationPart(LinkId Link, const ConfigurationPart &Part,
+                           Time Now);
   /// Switches to the members named by a polled host that is not one of them.
   void onMembersReply(LinkId Link, const MembersReply &Reply, Time Now);
   /// Returns whether the configuration or the live hosts changed since the
@@ -47,6 +54,8 @@
 
   const Endpoint &currentPeer() const { return m_Peers[m_CurrentPeer]; }
   void pollNextPeer(Time Now);
+  /// Receives an offered snapshot, from where an earlier transfer of it ended.
+  void startTransfer(LinkId Link, const PollReply &Offer, Time Now);
   /// The polled control host did not answer in time.
   void onPollTimeout(Time Now);
   void sendPoll(LinkId Link, Time Now);
@@ -59,6 +68,7 @@
   void updateDirectory(const PollReply &Reply);
   /// Each returns whether the configuration now holds what the reply proves.
   bool applySnapshot(const PollReply &Reply);
+  bool applySnapshot(const std::string &Encoded, uint64_t Index);
   bool applyChanges(const Poll &Answered, const PollReply &Reply);
 
   HostRecord m_Host;
@@ -79,8 +89,12 @@
   Time m_LastPeerChange;
   std::deque<Poll> m_OutstandingPolls;
   uint64_t m_Sequence = 0;
+  /// Parts that a control host of an earlier version sends without requests.
   std::string m_PartialSnapshot;
   uint64_t m_SnapshotSequence = 0;
+  std::optional<SnapshotTransfer> m_Transfer;
+  /// The polled control host was asked for a part.
+  bool m_AwaitsPart = false;
   std::optional<Endpoint> m_Leader;
   /// Set when a change did not apply: the next poll asks for a snapshot.
   bool m_NeedsSnapshot = false;
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -95,6 +95,9 @@
     const Message &Received = Event.m_Message;
     if (const PollReply *Reply = std::get_if<PollReply>(&Received))
       onPollReply(Event.m_Link, *Reply, Now);
+    else if (const ConfigurationPart *Part =
+                 std::get_if<ConfigurationPart>(&Received))
+      onConfigurationPart(Event.m_Link, *Part, Now);
     else if (const MembersReply *Members = std::get_if<MembersReply>(&Received))
       m_Configuration.onMembersReply(Event.m_Link, *Members, Now);
     else if (const TokenGrant *Grant = std::get_if<TokenGrant>(&Received))
@@ -133,6 +136,15 @@
     uint64_t Before = m_Board.m_Configuration.policy().m_Version;
     m_Configuration.onPollReply(Link, Reply, Now);
     m_Tokens.setLeader(m_Configuration.leader(), Now);
+    onConfigurationReceived(Before, Now);
+  }
+  void onConfigurationPart(LinkId Link, const ConfigurationPart &Part,
+                           Time Now) {
+    uint64_t Before = m_Board.m_Configuration.policy().m_Version;
+    m_Configuration.onConfigurationPart(Link, Part, Now);
+    onConfigurationReceived(Before, Now);
+  }
+  void onConfigurationReceived(uint64_t Before, Time Now) {
     uint64_t After = m_Board.m_Configuration.policy().m_Version;
     if (Before != After)
       m_ControlActions.push_back(
