Close connections that a host no longer needs once it reaches an owner

What callers saw: after a partition between hosts, or any time in which hosts ran statements themselves, about a seventh of the statements refused until the next restart, with connections rejected as too many.

Cause: a host that reaches no owner opens connections of its own. When it reached the owner again it kept them, because they were within its share. 84 hosts with one connection each fill an instance that admits 59, and the owner finds it full.

Change: idle connections of groups that this host does not own are closed after 300 ms, like those above the limit. A host that acts as the owner only for its own sessions, because candidates before it are down, counts as the owner; it would lose its connections otherwise.

Ruled out: letting only some hosts, selected by a hash, open connections of their own.

--- a/src/decision/session/GroupOwners.cpp
+++ b/src/decision/session/GroupOwners.cpp
@@ -85,8 +85,10 @@
         NeedsPrimary && Until != AvoidedUntil.end() && Now < Until->second;
     if (IsCutOff || Avoided.contains(Candidate.m_Name))
       continue;
-    if (Candidate.m_Name == m_Host)
+    if (Candidate.m_Name == m_Host) {
+      onStatementServed(Database, Now);
       return StatementRoute{};
+    }
     switch (stateOf(Candidate, Now)) {
     case PeerState::Accepting:
       return forwardTo(Candidate);
--- a/src/decision/session/GroupOwners.h
+++ b/src/decision/session/GroupOwners.h
@@ -46,7 +46,7 @@
   const HostName &self() const { return m_Host; }
   void onLinkLost(LinkId Link);
   void onOwnerStatus(LinkId Link, const OwnerStatus &Status, Time Now);
-  /// Another host forwarded a statement of the group to this one.
+  /// This host acts as the owner of the group.
   void onStatementServed(const DatabaseName &Database, Time Now);
   /// The configuration or the directory changed.
   void onConfigurationChanged(Time Now);
--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -188,6 +188,10 @@
   if (Entry == m_Board.m_Directory.m_Instances.end() ||
       Entry->m_State == InstanceState::Draining)
     return Open;
+  // Statements travel to the owner, so connections of another host are left
+  // from a time in which it reached none.
+  if (!m_Board.m_OwnedGroups.contains(Entry->m_Database))
+    return Open;
   size_t Share = connectionLimit(Entry->m_Database);
   return Open > Share ? Open - Share : 0;
 }
--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -85,10 +85,12 @@
   void close(ConnectionId Id);
   void erase(ConnectionId Id);
   /// Closes idle connections to instances that left the directory or are
-  /// draining, and those above the connection limit of this host.
+  /// draining, those of groups that another host owns, and those above the
+  /// connection limit of this host.
   void closeExcess(Time Now);
   /// Returns how many connections this host may hold to each instance of a
-  /// group.
+  /// group. With more hosts than connections, instances reject some of those
+  /// that hosts open while they reach no owner.
   size_t connectionLimit(const DatabaseName &Database) const;
   size_t busyCount(const InstanceName &Instance) const;
   size_t count() const { return m_Connections.size(); }
--- a/tests/session/RecoveryTest.cpp
+++ b/tests/session/RecoveryTest.cpp
@@ -143,8 +143,54 @@
   return Sum;
 }
 
+/// Returns how many connections instances reject as too many in a second under
+/// load that begins 4 s after hosts have reached one another again.
+size_t rejectionsAfterPartition(const FleetShape &Shape, size_t PerSecond) {
+  SessionFleet Fleet(Shape);
+  Callers Load(Fleet, 3 * Shape.m_Hosts);
+  Load.run(PerSecond, std::chrono::seconds(2));
+  Fleet.m_IsPartitioned = true;
+  Load.run(PerSecond, std::chrono::seconds(2));
+  MESSAGE("partition: sent ", Load.m_Sent, ", served ", Load.m_Served,
+          ", connections rejected ", rejectedConnections(Fleet));
+  Fleet.m_IsPartitioned = false;
+  Load.run(PerSecond, std::chrono::seconds(4));
+  size_t Before = rejectedConnections(Fleet);
+  MESSAGE("the 4 s after: sent ", Load.m_Sent, ", served ", Load.m_Served,
+          ", connections rejected so far ", Before);
+  Load.run(PerSecond, std::chrono::seconds(1));
+  MESSAGE("the next second: sent ", Load.m_Sent, ", served ", Load.m_Served,
+          ", connections rejected ", rejectedConnections(Fleet) - Before);
+  // Statements in flight at both ends are not counted as served.
+  CHECK(Load.m_Served + Load.m_Sent / 20 >= Load.m_Sent);
+  return rejectedConnections(Fleet) - Before;
+}
+
 } // namespace
 
+// Guards against connections that are kept after their use: hosts that ran
+// statements themselves while they reached no owner kept their connections, and
+// owners found instances full until the next restart.
+TEST_CASE("session recovery: hosts that reach their owners again give their "
+          "connections back, few hosts") {
+  FleetShape Shape;
+  Shape.m_Hosts = 11;
+  Shape.m_Groups = 3;
+  Shape.m_Organisations = 8;
+  CHECK(rejectionsAfterPartition(Shape, 200) == 0);
+}
+
+// As above, with more hosts than an instance admits connections.
+TEST_CASE("session recovery: hosts that reach their owners again give their "
+          "connections back, more hosts than connections") {
+  FleetShape Shape;
+  Shape.m_Hosts = 84;
+  Shape.m_Groups = 4;
+  Shape.m_Organisations = 82;
+  Shape.m_ConnectionLimit = 59;
+  CHECK(rejectionsAfterPartition(Shape, 300) == 0);
+}
+
 // Guards against throttling statements when an instance admits no further
 // connection: the rejection was taken for an overload, which halved the number
 // of statements on the open connections down to one and kept it there under
