--- a/tests/control/PolicyTest.cpp
+++ b/tests/control/PolicyTest.cpp
@@ -167,6 +167,66 @@
   REQUIRE(Sim.awaitVoters(4));
 }
 
+// Guards against consensus that starves behind the snapshots of a fleet that
+// has restarted, and against a snapshot for each of many changes.
+TEST_CASE("policy: control hosts offer one snapshot during a series of changes "
+          "and limit the rate of its parts") {
+  constexpr size_t kProxies = 300;
+  constexpr Duration kSpan = milliseconds(200);
+  InstallPolicy Install;
+  for (int Index = 0; Index < 3'000; ++Index)
+    Install.m_Policy
+        .m_Organisations[OrganisationName{"o" + std::to_string(Index)}] =
+        OrganisationPolicy{{digestOfKey(std::to_string(Index))}, Limit{9, 9}};
+  Install.m_Policy.m_Version = 1;
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  size_t Leader = *Sim.leader();
+  Sim.addHost("h1");
+  submit(Sim, Leader, 5'001, Install);
+  Sim.run(milliseconds(500));
+  auto Offered = [&] {
+    Sim.pollForAmendments(Leader, HostName{"h1"}, 0, kRequestsSnapshotParts);
+    REQUIRE(Sim.runUntil([&] { return Sim.lastPollReply(Leader) != nullptr; }));
+    return *Sim.lastPollReply(Leader);
+  };
+  PollReply First = Offered();
+  CHECK(First.m_Snapshot.empty());
+  CHECK(First.m_SnapshotBytes > kMaxConfigurationPartBytes);
+  Install.m_Policy.m_Version = 2;
+  submit(Sim, Leader, 5'002, Install);
+  Sim.run(milliseconds(500));
+  CHECK(Offered().m_AppliedIndex == First.m_AppliedIndex);
+  Sim.m_Controls[Leader].m_SentToProxies.clear();
+  for (size_t Proxy = 0; Proxy < kProxies; ++Proxy)
+    Sim.handle(Leader, MessageReceived{
+                           LinkId{2'000'000 + 2 * Proxy},
+                           ConfigurationPartRequest{First.m_AppliedIndex, 0}});
+  Sim.run(kSpan);
+  size_t Bytes = 0;
+  for (const Message &Sent : Sim.m_Controls[Leader].m_SentToProxies)
+    if (const ConfigurationPart *Part = std::get_if<ConfigurationPart>(&Sent))
+      Bytes += Part->m_Bytes.size();
+  // Half of a link of 100 Mbit/s, and two parts at once after an idle time.
+  size_t Allowed = 6'250 * static_cast<size_t>(kSpan / milliseconds(1)) +
+                   3 * kMaxConfigurationPartBytes;
+  CHECK(Bytes <= Allowed);
+  CHECK(Bytes >= Allowed / 2);
+  // A snapshot that the host does not hold is answered without bytes.
+  Sim.m_Controls[Leader].m_SentToProxies.clear();
+  Sim.handle(Leader, MessageReceived{Simulation::kProxyLink,
+                                     ConfigurationPartRequest{1, 0}});
+  REQUIRE(Sim.runUntil([&] {
+    for (const Message &Sent : Sim.m_Controls[Leader].m_SentToProxies)
+      if (const ConfigurationPart *Part = std::get_if<ConfigurationPart>(&Sent);
+          Part != nullptr && Part->m_Index == 1)
+        return Part->m_Bytes.empty();
+    return false;
+  }));
+  Sim.run(std::chrono::seconds(4));
+  CHECK(Offered().m_AppliedIndex > First.m_AppliedIndex);
+}
+
 TEST_CASE("policy: eight changes in a row cost each of 300 hosts bytes in "
           "proportion to the changes") {
   // The whole policy of 190 organisations went to every host for each change.
--- a/tests/control/Simulation.h
+++ b/tests/control/Simulation.h
@@ -332,10 +332,11 @@
                                        ++m_PollSequence, Applied, 0, 0}});
   }
   /// Polls as a session proxy, which applies amendments of the policy.
-  void pollForAmendments(size_t Index, const HostName &Host, uint64_t Applied) {
+  void pollForAmendments(size_t Index, const HostName &Host, uint64_t Applied,
+                         uint64_t Capability = kAppliesPolicyAmendments) {
     PollRequest Poll{m_Hosts[Host].m_Record, 1, ++m_PollSequence, Applied};
     Poll.m_WantsLiveHosts = false;
-    Poll.m_LiveHostsTerm = kAppliesPolicyAmendments;
+    Poll.m_LiveHostsTerm = Capability;
     handle(Index, MessageReceived{kProxyLink, Poll});
   }
   /// Returns the answer to the last poll, or null.
@@ -475,7 +476,8 @@
     });
   }
   void execute(size_t Index, const SendMessage &Action) {
-    if (Action.m_Link == kProxyLink) {
+    // Links with larger numbers belong to proxies too.
+    if (Action.m_Link >= kProxyLink) {
       m_Controls[Index].m_SentToProxies.push_back(Action.m_Message);
       return;
     }
