Forget losses of an owner that are long past

Cause: a host whose link was lost is not used as an owner for a while, which doubles with each loss up to 16 s and never fell again: a state that outlives its cause. A host that restarts now and then is left unused for 16 s each time while other candidates act for it, and callers at different hosts may use different ones.

Change: a loss 32 s after the one before counts as the first.

Evidence: "an owner that returns long after its last loss is used again within two seconds" failed before and passes.

--- a/src/decision/session/GroupOwners.cpp
+++ b/src/decision/session/GroupOwners.cpp
@@ -24,6 +24,8 @@
 /// time, so the wait before it is used again doubles with each loss.
 constexpr Duration kMinProbation = milliseconds(1'000);
 constexpr Duration kMaxProbation = milliseconds(16'000);
+/// A loss this long after the one before counts as the first.
+constexpr Duration kProbationMemory = 2 * kMaxProbation;
 constexpr Duration kOwnedUpdateInterval = milliseconds(100);
 
 } // namespace
@@ -135,11 +137,14 @@
   m_Groups[Database].m_AvoidedUntil[Host] = Now + kUnreachableAvoidance;
 }
 
-void GroupOwners::onLinkLost(LinkId Link) {
+void GroupOwners::onLinkLost(LinkId Link, Time Now) {
   for (auto &[Endpoint, Peer] : m_Peers) {
     if (Peer.m_Link != Link)
       continue;
     Peer.m_Link.reset();
+    if (Now - Peer.m_LostAt >= kProbationMemory)
+      Peer.m_Probation = Duration::zero();
+    Peer.m_LostAt = Now;
     Peer.m_Probation =
         std::clamp(2 * Peer.m_Probation, kMinProbation, kMaxProbation);
   }
--- a/src/decision/session/GroupOwners.h
+++ b/src/decision/session/GroupOwners.h
@@ -44,7 +44,7 @@
   void onPrimaryUnreachable(const DatabaseName &Database, const HostName &Host,
                             Time Now);
   const HostName &self() const { return m_Host; }
-  void onLinkLost(LinkId Link);
+  void onLinkLost(LinkId Link, Time Now);
   void onOwnerStatus(LinkId Link, const OwnerStatus &Status, Time Now);
   /// This host acts as the owner of the group.
   void onStatementServed(const DatabaseName &Database, Time Now);
@@ -74,6 +74,7 @@
     /// there is no other.
     Time m_ProbationUntil;
     Duration m_Probation{};
+    Time m_LostAt;
   };
 
   enum class PeerState : uint8_t {
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -247,7 +247,7 @@
 }
 
 void StatementExecutor::onLinkLost(LinkId Link, Time Now) {
-  m_Owners.onLinkLost(Link);
+  m_Owners.onLinkLost(Link, Now);
   for (SessionId Id : m_Forwarder.takeLost(Link)) {
     auto Found = m_Sessions.find(Id.m_Value);
     if (Found != m_Sessions.end() && Found->second.m_Pending &&
--- a/tests/session/OwnerTest.cpp
+++ b/tests/session/OwnerTest.cpp
@@ -311,3 +311,31 @@
   for (size_t Index = 0; Index < 60; ++Index)
     CHECK(Fleet.counter(Index, "almondpier_links_lost_total") == 0);
 }
+
+// Guards against a probation that outlives its cause: its length doubled with
+// each loss of a host and never fell, so that a host that restarts once a day
+// ends up unused for 16 s while two others act for it.
+TEST_CASE("owner: an owner that returns long after its last loss is used again "
+          "within two seconds") {
+  SessionFleet Fleet({.m_Hosts = 5});
+  warmUp(Fleet);
+  size_t Owner = Fleet.busiestOwner();
+  size_t Id = Fleet.open(entryHostOf(Fleet), "own");
+  auto Lose = [&] {
+    Fleet.kill(Owner);
+    Fleet.run(milliseconds(300));
+    Fleet.start(Owner);
+    Fleet.run(milliseconds(300));
+    CHECK(!Fleet.sendAndWait(Id, StatementKind::Read).m_Error);
+  };
+  for (int Day = 0; Day < 3; ++Day) {
+    Lose();
+    Fleet.run(std::chrono::seconds(35));
+  }
+  Lose();
+  Fleet.run(milliseconds(2'000));
+  double Before = Fleet.counter(Owner, "almondpier_statements_served_total");
+  CHECK(!Fleet.sendAndWait(Id, StatementKind::Read).m_Error);
+  CHECK(Fleet.counter(Owner, "almondpier_statements_served_total") ==
+        Before + 1);
+}
