--- a/tests/consensus/ReplicationTest.cpp
+++ b/tests/consensus/ReplicationTest.cpp
@@ -162,7 +162,7 @@
 // slow link the repeats delayed one another and the heartbeats behind them.
 TEST_CASE("consensus: a member behind a link of 2 Mbit/s gets a snapshot about "
           "as fast as the link allows") {
-  constexpr uint64_t kBytesPerMs = 250;
+  constexpr int64_t kBytesPerMs = 250;
   ManualCluster Cluster({1, 2, 3});
   uint64_t Leader = Cluster.elect();
   uint64_t Away = Leader % 3 + 1;
@@ -175,7 +175,10 @@
   Time LinkFreeAt = Cluster.m_Now;
   std::multimap<Time, ConsensusMessage> OnTheWay;
   uint64_t Bytes = 0;
-  for (Time End = Cluster.m_Now + ms(2 * State.size() / kBytesPerMs);
+  auto TimeOnLink = [](size_t Size) {
+    return ms(static_cast<int64_t>(Size) / kBytesPerMs);
+  };
+  for (Time End = Cluster.m_Now + TimeOnLink(2 * State.size());
        Cluster.m_Now < End;) {
     Cluster.m_Now += ms(5);
     for (auto &[Id, Node] : Cluster.m_Nodes) {
@@ -196,7 +199,7 @@
       }
       size_t Size = encode(Message(Sent)).size();
       Bytes += Size;
-      LinkFreeAt = std::max(LinkFreeAt, Cluster.m_Now) + ms(Size / kBytesPerMs);
+      LinkFreeAt = std::max(LinkFreeAt, Cluster.m_Now) + TimeOnLink(Size);
       OnTheWay.emplace(LinkFreeAt, Sent);
     }
   }
