--- a/tests/session/RecoveryTest.cpp
+++ b/tests/session/RecoveryTest.cpp
@@ -60,6 +60,25 @@
   CHECK(IsBack);
 }
 
+// Guards against a recovery that only an undisturbed fleet completes.
+TEST_CASE("session recovery: power is lost again while hosts obtain the "
+          "configuration") {
+  SessionFleet Fleet(largeFleet());
+  REQUIRE(Fleet.readyHosts() == Fleet.m_Shape.m_Hosts);
+  Fleet.losePower(milliseconds(840), milliseconds(300));
+  Fleet.run(milliseconds(2'500));
+  size_t ReadyBefore = Fleet.readyHosts();
+  CHECK(ReadyBefore < Fleet.m_Shape.m_Hosts);
+  Fleet.losePower(milliseconds(840), milliseconds(300));
+  Time Lost = Fleet.m_Now;
+  CHECK(Fleet.runUntil(
+      [&] { return Fleet.readyHosts() == Fleet.m_Shape.m_Hosts; },
+      kRecoveryLimit));
+  MESSAGE("ready hosts: ", ReadyBefore, " before the second loss, ",
+          Fleet.readyHosts(), " after ", (Fleet.m_Now - Lost) / milliseconds(1),
+          " ms");
+}
+
 namespace {
 
 /// Callers of a fleet. Each sends single statements in turn, and opens a
