--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -13,13 +13,10 @@
 constexpr uint16_t kProtocolVersion = 1;
 /// Maximum size of an encoded message in bytes.
 constexpr size_t kMaxMessageBytes = 1U << 20U;
-/// Maximum size of the snapshot chunk in one message between control hosts, in
-/// bytes.
-constexpr size_t kMaxSnapshotChunkBytes = 256U << 10U;
-/// Maximum size of what one message tells a proxy about the configuration, in
-/// bytes. It takes 131 ms of a link of 2 Mbit/s, a quarter of the time after
-/// which a proxy asks another control host.
-constexpr size_t kMaxConfigurationPartBytes = 32U << 10U;
+/// Maximum size of the part of a snapshot in one message, in bytes. It takes
+/// 131 ms of a link of 2 Mbit/s, less than the times after which a control host
+/// sends an unanswered part again and a proxy asks another control host.
+constexpr size_t kMaxSnapshotPartBytes = 32U << 10U;
 /// Maximum size of a UDP datagram in bytes, chosen to fit in one Ethernet
 /// frame.
 constexpr size_t kMaxDatagramBytes = 1'400;
@@ -345,11 +342,13 @@
 
 // Messages between proxies and control hosts.
 
-/// Values of PollRequest::m_LiveHostsTerm in polls without m_WantsLiveHosts.
-/// Control hosts of earlier versions ignore the field in such polls.
+// Values of PollRequest::m_LiveHostsTerm in polls without m_WantsLiveHosts.
+// Control hosts of earlier versions ignore the field in such polls.
+
 /// The sender applies amendments of the policy.
 constexpr uint64_t kAppliesPolicyAmendments = 1;
-/// The sender also requests the parts of a snapshot one by one.
+/// The sender applies amendments of the policy and requests the parts of a
+/// snapshot one by one.
 constexpr uint64_t kRequestsSnapshotParts = 2;
 
 struct PollRequest {
--- a/src/decision/consensus/Replication.cpp
+++ b/src/decision/consensus/Replication.cpp
@@ -6,9 +6,6 @@
 
 /// Bound for the entries of one message, well below kMaxMessageBytes.
 constexpr size_t kMaxBatchBytes = 256U << 10U;
-/// An unanswered chunk is sent again after four heartbeat intervals. On a link
-/// of 2 Mbit/s this one takes 131 ms, so that it is answered before.
-constexpr size_t kSnapshotChunkBytes = 32U << 10U;
 /// Messages with entries on the way to one member without a reply.
 constexpr size_t kMaxInFlight = 16;
 
@@ -83,7 +80,7 @@
   Request.m_Membership = Source.m_Membership;
   Request.m_Offset = Target.m_SnapshotOffset;
   Request.m_Data =
-      Source.m_Data.substr(Target.m_SnapshotOffset, kSnapshotChunkBytes);
+      Source.m_Data.substr(Target.m_SnapshotOffset, kMaxSnapshotPartBytes);
   Request.m_Last =
       Request.m_Offset + Request.m_Data.size() == Source.m_Data.size();
   Target.m_SnapshotSentAt = Now;
--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -1,5 +1,6 @@
 #include "decision/control/FeedController.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondpier {
@@ -16,7 +17,7 @@
 constexpr Duration kWaitLimit = std::chrono::milliseconds(1'000);
 constexpr uint64_t kKeptEntries = 2'000;
 /// Larger differences are sent as a snapshot in parts.
-constexpr size_t kMaxChangesBytes = kMaxConfigurationPartBytes;
+constexpr size_t kMaxChangesBytes = kMaxSnapshotPartBytes;
 
 } // namespace
 
@@ -206,21 +207,25 @@
     Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
   else if (!Poll.m_WantsLiveHosts &&
            Poll.m_LiveHostsTerm == kRequestsSnapshotParts)
-    offerSnapshot(Waiter.m_Link, std::move(Reply), Context);
+    offerSnapshot(Waiter, std::move(Reply), Context);
   else
     sendSnapshot(Waiter.m_Link, std::move(Reply), Context);
 }
 
-void FeedController::offerSnapshot(LinkId Link, PollReply Reply,
+void FeedController::offerSnapshot(const PollWaiter &Waiter, PollReply Reply,
                                    ControlContext &Context) {
   uint64_t ChangedAt =
       m_Changes.empty() ? m_ChangesAfter : m_Changes.back().m_Index;
+  // A proxy takes index 0 for no configuration. The first entry of a log
+  // changes only the membership.
+  ChangedAt = std::max<uint64_t>(ChangedAt, 1);
   SnapshotServer::Offer Offer =
-      m_Snapshots.offer(m_Board.configuration(), ChangedAt, Context.m_Now);
+      m_Snapshots.offer(m_Board.configuration(), ChangedAt,
+                        Waiter.m_Poll.m_AppliedIndex, Context.m_Now);
   Reply.m_AppliedIndex = Offer.m_Index;
   Reply.m_SnapshotBytes = Offer.m_Bytes;
   Reply.m_Changes.clear();
-  Context.m_Actions.push_back(SendMessage{Link, std::move(Reply)});
+  Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
 }
 
 bool FeedController::addChanges(const PollRequest &Poll,
@@ -266,9 +271,9 @@
   }
   Reply.m_SnapshotBytes = m_Snapshot.size();
   for (size_t Offset = 0; Offset < m_Snapshot.size();
-       Offset += kMaxConfigurationPartBytes) {
+       Offset += kMaxSnapshotPartBytes) {
     Reply.m_SnapshotOffset = Offset;
-    Reply.m_Snapshot = m_Snapshot.substr(Offset, kMaxConfigurationPartBytes);
+    Reply.m_Snapshot = m_Snapshot.substr(Offset, kMaxSnapshotPartBytes);
     m_PushedBytes += Reply.m_Snapshot.size();
     Context.m_Actions.push_back(SendMessage{Link, Reply});
     Reply.m_LiveHosts.reset();
--- a/src/decision/control/FeedController.h
+++ b/src/decision/control/FeedController.h
@@ -72,7 +72,8 @@
   void answerFollower(const FollowerWaiter &Waiter, uint64_t Index,
                       ControlContext &Context);
   bool addChanges(const PollRequest &Poll, PollReply &Reply) const;
-  void offerSnapshot(LinkId Link, PollReply Reply, ControlContext &Context);
+  void offerSnapshot(const PollWaiter &Waiter, PollReply Reply,
+                     ControlContext &Context);
   void sendSnapshot(LinkId Link, PollReply Reply, ControlContext &Context);
 
   ControlBlackboard &m_Board;
--- a/src/decision/control/SnapshotServer.cpp
+++ b/src/decision/control/SnapshotServer.cpp
@@ -23,10 +23,13 @@
 } // namespace
 
 SnapshotServer::Offer SnapshotServer::offer(const Configuration &Current,
-                                            uint64_t ChangedAt, Time Now) {
-  bool IsOutdated = m_Snapshots.empty() ||
-                    (m_Snapshots.back().m_Index != ChangedAt &&
-                     Now - m_Snapshots.back().m_EncodedAt >= kSnapshotLifetime);
+                                            uint64_t ChangedAt, uint64_t Known,
+                                            Time Now) {
+  bool IsOutdated =
+      m_Snapshots.empty() ||
+      (m_Snapshots.back().m_Index != ChangedAt &&
+       (Now - m_Snapshots.back().m_EncodedAt >= kSnapshotLifetime ||
+        m_Snapshots.back().m_Index <= Known));
   if (IsOutdated) {
     m_Snapshots.push_back(EncodedSnapshot{ChangedAt, Now, encode(Current)});
     if (m_Snapshots.size() > kKeptSnapshots)
@@ -57,12 +60,12 @@
     if (Kept.m_Index == Request.m_Index &&
         Request.m_Offset < Kept.m_Bytes.size())
       Part.m_Bytes =
-          Kept.m_Bytes.substr(Request.m_Offset, kMaxConfigurationPartBytes);
+          Kept.m_Bytes.substr(Request.m_Offset, kMaxSnapshotPartBytes);
   return Part;
 }
 
 void SnapshotServer::tick(ControlContext &Context) {
-  constexpr double kMaxAllowance = kBurstParts * kMaxConfigurationPartBytes;
+  constexpr double kMaxAllowance = kBurstParts * kMaxSnapshotPartBytes;
   m_Allowance =
       std::min(kMaxAllowance,
                m_Allowance + kMaxBytesPerMs *
--- a/src/decision/control/SnapshotServer.h
+++ b/src/decision/control/SnapshotServer.h
@@ -13,15 +13,18 @@
 /// proxy needs a snapshot, and consensus uses the same links.
 class SnapshotServer {
 public:
-  /// The snapshot to offer. Valid until the next call.
+  /// Identifies a snapshot.
   struct Offer {
     uint64_t m_Index = 0;
     uint64_t m_Bytes = 0;
   };
 
-  /// Returns the latest snapshot. ChangedAt is the log index of the last change
-  /// of Current, so that all control hosts offer the same snapshot.
-  Offer offer(const Configuration &Current, uint64_t ChangedAt, Time Now);
+  /// Returns a snapshot that is a few seconds old at most, and later than
+  /// Known, the index that the proxy holds, if Current is. ChangedAt is the log
+  /// index of the last change of Current, so that all control hosts offer the
+  /// same snapshot.
+  Offer offer(const Configuration &Current, uint64_t ChangedAt, uint64_t Known,
+              Time Now);
   void onRequest(LinkId Link, const ConfigurationPartRequest &Request,
                  ControlContext &Context);
   void onLinkClosed(LinkId Link);
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -171,15 +171,17 @@
     m_Actions.push_back(SendMessage{Link, m_Transfer->nextRequest()});
     return;
   }
+  bool IsApplied = false;
   if (Progress == SnapshotTransfer::Progress::Complete) {
     m_SnapshotBytesReceived += Part.m_Bytes.size();
-    applySnapshot(m_Transfer->takeBytes(), m_Transfer->index());
+    IsApplied = applySnapshot(m_Transfer->takeBytes(), m_Transfer->index());
   }
   m_Transfer.reset();
   m_AwaitsPart = false;
   // The answer brings what has changed since, and proves that nothing is
-  // missing.
-  sendPoll(Link, Now);
+  // missing. After a failure the next poll is due at the usual interval.
+  if (IsApplied)
+    sendPoll(Link, Now);
 }
 
 void ConfigurationController::onMembersReply(LinkId Link,
--- a/tests/consensus/RandomCluster.h
+++ b/tests/consensus/RandomCluster.h
@@ -311,7 +311,7 @@
   void compact(Host &Host) {
     if (Host.m_Applied.m_Index <= Host.m_Consensus->snapshotIndex())
       return;
-    size_t Padding = pick(20) == 0 ? kMaxSnapshotChunkBytes * 2 : 0;
+    size_t Padding = pick(20) == 0 ? kMaxSnapshotPartBytes * 16 : 0;
     Host.m_Consensus->compact(Host.m_Applied.m_Index,
                               encode(Host.m_Applied, Padding));
     if (!happens(FaultKind::CrashAtSync, 20))
--- a/tests/consensus/ReplicationTest.cpp
+++ b/tests/consensus/ReplicationTest.cpp
@@ -128,7 +128,7 @@
   Cluster.m_Cut = {Away};
   for (int Count = 0; Count < 400; ++Count)
     Cluster.propose("x");
-  std::string State(kMaxSnapshotChunkBytes * 3 + 1, 's');
+  std::string State(kMaxSnapshotPartBytes * 24 + 1, 's');
   compact(Cluster, Leader, State);
   Cluster.m_Cut.clear();
   // Every third message is lost for a while.
@@ -169,7 +169,7 @@
   Cluster.m_Cut = {Away};
   for (int Count = 0; Count < 400; ++Count)
     Cluster.propose("x");
-  std::string State(kMaxSnapshotChunkBytes * 2, 's');
+  std::string State(kMaxSnapshotPartBytes * 16, 's');
   compact(Cluster, Leader, State);
   Cluster.m_Cut.clear();
   Time LinkFreeAt = Cluster.m_Now;
--- a/tests/control/PolicyTest.cpp
+++ b/tests/control/PolicyTest.cpp
@@ -192,7 +192,7 @@
   };
   PollReply First = Offered();
   CHECK(First.m_Snapshot.empty());
-  CHECK(First.m_SnapshotBytes > kMaxConfigurationPartBytes);
+  CHECK(First.m_SnapshotBytes > kMaxSnapshotPartBytes);
   Install.m_Policy.m_Version = 2;
   submit(Sim, Leader, 5'002, Install);
   Sim.run(milliseconds(500));
@@ -209,7 +209,7 @@
       Bytes += Part->m_Bytes.size();
   // Half of a link of 100 Mbit/s, and two parts at once after an idle time.
   size_t Allowed = 6'250 * static_cast<size_t>(kSpan / milliseconds(1)) +
-                   3 * kMaxConfigurationPartBytes;
+                   3 * kMaxSnapshotPartBytes;
   CHECK(Bytes <= Allowed);
   CHECK(Bytes >= Allowed / 2);
   // A snapshot that the host does not hold is answered without bytes.
@@ -227,6 +227,56 @@
   CHECK(Offered().m_AppliedIndex > First.m_AppliedIndex);
 }
 
+// Guards against a proxy that is offered what it already holds, over and over,
+// while its proof of a current configuration runs out.
+TEST_CASE(
+    "policy: a proxy that holds the offered snapshot gets a later one when "
+    "the changes since do not fit into a reply") {
+  InstallPolicy Install;
+  auto InstallNext = [&](Simulation &Sim, uint64_t Number) {
+    ++Install.m_Policy.m_Version;
+    for (int Index = 0; Index < 1'000; ++Index) {
+      std::string Name = "o" + std::to_string(Index);
+      Install.m_Policy.m_Organisations[OrganisationName{Name}] =
+          OrganisationPolicy{{digestOfKey(Name)},
+                             Limit{9.0 + Install.m_Policy.m_Version, 9}};
+    }
+    submit(Sim, *Sim.leader(), Number, Install);
+    Sim.run(milliseconds(300));
+  };
+  Simulation Sim(3);
+  REQUIRE(Sim.awaitVoters(3));
+  size_t Leader = *Sim.leader();
+  Sim.addHost("h1");
+  InstallNext(Sim, 5'001);
+  auto OfferTo = [&](uint64_t Applied) {
+    Sim.pollForAmendments(Leader, HostName{"h1"}, Applied,
+                          kRequestsSnapshotParts);
+    REQUIRE(Sim.runUntil([&] { return Sim.lastPollReply(Leader) != nullptr; }));
+    return *Sim.lastPollReply(Leader);
+  };
+  PollReply First = OfferTo(0);
+  InstallNext(Sim, 5'002);
+  PollReply Second = OfferTo(First.m_AppliedIndex);
+  REQUIRE(Second.m_SnapshotBytes > 0);
+  CHECK(Second.m_AppliedIndex > First.m_AppliedIndex);
+}
+
+// Guards against proxies that poll without pause while a new cluster holds no
+// change: an offered index of 0 stands for no configuration.
+TEST_CASE("policy: the snapshot of a cluster without changes has an index") {
+  Simulation Sim = Simulation::withFounders(3);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Sim.start(Index);
+  REQUIRE(Sim.runUntil([&] { return Sim.leader().has_value(); }));
+  size_t Leader = *Sim.leader();
+  Sim.addHost("h1");
+  Sim.pollForAmendments(Leader, HostName{"h1"}, 0, kRequestsSnapshotParts);
+  REQUIRE(Sim.runUntil([&] { return Sim.lastPollReply(Leader) != nullptr; }));
+  CHECK(Sim.lastPollReply(Leader)->m_SnapshotBytes > 0);
+  CHECK(Sim.lastPollReply(Leader)->m_AppliedIndex > 0);
+}
+
 TEST_CASE("policy: eight changes in a row cost each of 300 hosts bytes in "
           "proportion to the changes") {
   // The whole policy of 190 organisations went to every host for each change.
--- a/tests/proxy/ConfigurationPartsTest.cpp
+++ b/tests/proxy/ConfigurationPartsTest.cpp
@@ -161,13 +161,16 @@
   CHECK(Proxy.takeSent<PollRequest>().empty());
   Proxy.sendPart(kIndex, 0, Proxy.m_Encoded + "surplus");
   CHECK(Proxy.m_Board.m_AppliedIndex == 0);
+  Proxy.run(kPollInterval);
   Proxy.offer(kIndex);
   Proxy.takeRequest();
   Proxy.sendPart(kIndex, 0, "");
+  Proxy.run(kPollInterval);
   Proxy.offer(kIndex);
   Proxy.takeRequest();
   Proxy.sendPart(kIndex, 0, std::string(Proxy.m_Encoded.size(), '\xff'));
   CHECK(Proxy.m_Board.m_AppliedIndex == 0);
+  Proxy.run(kPollInterval);
   Proxy.offer(kIndex);
   Proxy.takeRequest();
   Proxy.sendPart(kIndex, 0, Proxy.m_Encoded);
