--- a/tests/control/PolicyTest.cpp
+++ b/tests/control/PolicyTest.cpp
@@ -238,8 +238,9 @@
     for (int Index = 0; Index < 1'000; ++Index) {
       std::string Name = "o" + std::to_string(Index);
       Install.m_Policy.m_Organisations[OrganisationName{Name}] =
-          OrganisationPolicy{{digestOfKey(Name)},
-                             Limit{9.0 + Install.m_Policy.m_Version, 9}};
+          OrganisationPolicy{
+              {digestOfKey(Name)},
+              Limit{static_cast<double>(Install.m_Policy.m_Version), 9}};
     }
     submit(Sim, *Sim.leader(), Number, Install);
     Sim.run(milliseconds(300));
