Take a rejected connection for a sign that the instance is reachable

Cause: an instance whose connections had broken off counts as lost until it sends something. When others had taken its connections meanwhile, all it sent was "too many connections", which did not count. The owner passed its statements on to the next candidates, and these to the entry hosts, which all opened connections and kept the instance full: a state that outlives its cause.

Change: a rejection for overload or too many connections is an answer.

Evidence: "an owner that an instance rejects as too many does not take the instance for lost" fails before (5 connections attempted by another host) and passes.

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -389,11 +389,14 @@
   InstanceName Instance = Connection->m_Instance;
   std::optional<SessionId> Waiting = Connection->m_Session;
   m_Pool.close(Event.m_Connection);
+  // An instance that is full or overloaded can be reached.
   if (Event.m_Error == SessionError::TooManyConnections) {
     // The connections that are open can be used as before.
     ++m_ConnectionsOverLimit;
+    m_Tracker.onInputReceived(Instance, Now);
     m_Pool.onOverLimit(Instance, Now);
   } else if (Event.m_Error == SessionError::Busy) {
+    m_Tracker.onInputReceived(Instance, Now);
     m_Tracker.onOverloaded(Instance, Now);
   } else {
     m_Tracker.onUnreachable(Instance, Now, Now);
--- a/tests/session/RecoveryTest.cpp
+++ b/tests/session/RecoveryTest.cpp
@@ -234,3 +234,37 @@
   // One attempt for each pause and instance.
   CHECK(rejectedConnections(Fleet) <= 60);
 }
+
+// Guards against an instance that is full being taken for lost: an owner whose
+// connections had broken off was told "too many connections" and passed its
+// statements on, so that all hosts opened connections and kept the instance
+// full.
+TEST_CASE(
+    "session recovery: an owner that an instance rejects as too many does "
+    "not take the instance for lost") {
+  SessionFleet Fleet({.m_Hosts = 5});
+  std::vector<size_t> Writers;
+  for (size_t Host = 0; Host < 5; ++Host) {
+    Writers.push_back(Fleet.open(Host, "own"));
+    REQUIRE(!Fleet.sendAndWait(Writers.back(), StatementKind::Write).m_Error);
+  }
+  size_t Owner = Fleet.busiestOwner();
+  for (size_t Id : Writers)
+    Fleet.send(Id, StatementKind::Write);
+  Fleet.run(milliseconds(5));
+  // The connections break off, and others take their places.
+  for (uint64_t Id = 1; Id < 30; ++Id)
+    Fleet.handle(Owner, ConnectionClosed{ConnectionId{Id}});
+  Fleet.instance(0, 0).m_Connections = Fleet.m_Shape.m_ConnectionLimit;
+  Fleet.run(milliseconds(50));
+  for (int Round = 0; Round < 10; ++Round) {
+    for (size_t Id : Writers)
+      Fleet.send(Id, StatementKind::Write);
+    Fleet.run(milliseconds(100));
+  }
+  CHECK(Fleet.counter(Owner, "almondpier_connections_over_limit_total") > 0);
+  for (size_t Host = 0; Host < 5; ++Host)
+    if (Host != Owner)
+      CHECK(Fleet.counter(Host, "almondpier_connections_over_limit_total") ==
+            0);
+}
