Replace case 5 by a key that goes on working inside a transaction

A configuration that takes a key and its route away is in force, and a caller inside a transaction goes on for more than revokeMs.

--- a/review/standin/cases.hh
+++ b/review/standin/cases.hh
@@ -216,43 +216,53 @@
   return IsBroken;
 }
 
-// One configuration takes a tenant's key and its route away while the tenant's
-// caller is inside a transaction.
+// One configuration takes a key and the route that its caller uses away while
+// that caller is inside a transaction. Another caller of the tenant goes on
+// with a new key, through another route to the same database.
 inline std::optional<bool> playLeavingTenant(World &Played, Record &Log,
                                              bool HasTrouble) {
   constexpr int kRevokeMs = 5'000;
   constexpr int kPauseMs = 800;
   constexpr int kStatements = 12;
-  const std::string Key = Played.m_Tenants[1].m_Keys[0];
-  const std::string Kept = "fiti832";
+  const std::string Taken = Played.m_Tenants[1].m_Keys[0];
+  const std::string Kept = Played.m_Tenants[1].m_Keys[1];
   const std::string Removed = "qode114";
-  Session Leaving(Log, "caller on the removed route", Played.fleet().front(3));
-  Session Other(Log, "caller on a kept route", Played.fleet().front(3));
-  if (!Leaving.open(Removed, Key) || !Other.open(Kept, Key) ||
+  Session Leaving(Log, "caller whose key is taken", Played.fleet().front(3));
+  Session Compared(Log, "caller with that key on a kept route",
+                   Played.fleet().front(3));
+  Session Staying(Log, "caller with another key", Played.fleet().front(5));
+  if (!Leaving.open(Removed, Taken) || !Compared.open("fiti832", Taken) ||
+      !Staying.open("beto901", Kept) ||
       !Leaving.query(Played.nextId(), "BEGIN").isSuccess() ||
-      !Other.query(Played.nextId(), "BEGIN").isSuccess())
+      !Compared.query(Played.nextId(), "BEGIN").isSuccess())
     return std::nullopt;
   std::optional<int64_t> ConfirmedAt;
   std::map<std::string, int64_t> SentAt;
-  for (int Number = 1; Number <= kStatements - 1; ++Number) {
-    constexpr int kBefore = 2;
+  for (int Number = 1; Number <= kStatements; ++Number) {
+    constexpr int kBefore = 3;
     if (Number == kBefore && HasTrouble) {
       std::erase_if(Played.m_Routes, [&](const Route &Entry) {
         return Entry.m_Database == Removed;
       });
-      Played.m_Tenants[1].m_Keys = {"z9xw3vq6kd2mb7yt5rnc"};
+      Played.m_Tenants[1].m_Keys = {Kept};
       if (!Played.install(2))
         return std::nullopt;
       ConfirmedAt = Log.nowMs();
     }
-    for (Session *Caller : {&Leaving, &Other}) {
+    Staying.query(Played.nextId(),
+                  "WRITE contract version-" + std::to_string(Number));
+    for (Session *Caller : {&Leaving, &Compared}) {
       std::string Id = Played.nextId();
       SentAt[Id] = Log.nowMs();
-      Caller->query(Id, "WRITE t" + std::to_string(Number) + " x");
+      Caller->query(Id, Number % 2 == 0
+                            ? "WRITE notes note-" + std::to_string(Number)
+                            : std::string("READ contract"));
     }
     sleepMs(kPauseMs);
   }
-  Leaving.query(Played.nextId(), "COMMIT");
+  std::string Commit = Played.nextId();
+  SentAt[Commit] = Log.nowMs();
+  Leaving.query(Commit, "COMMIT");
   bool IsBroken = false;
   for (size_t Index : {0, 1})
     for (const Run &Entry : Played.database(Index).runs()) {
--- a/review/standin/world.hh
+++ b/review/standin/world.hh
@@ -180,9 +180,10 @@
                 {"xapu221", "bounded_staleness", "huvo11a", 1'500, 2'000, 600},
                 {"fiti832", "read_your_writes", "huvo11a", 2'500, 1'000, 400},
                 {"qode114", "primary", "kafi81c", 0, 1'000, 200},
-                {"ruma377", "bounded_staleness", "kafi81c", 1'500, 2'000, 600}};
+                {"ruma377", "bounded_staleness", "kafi81c", 1'500, 2'000, 600},
+                {"beto901", "primary", "kafi81c", 0, 1'000, 200}};
     m_Tenants = {{"nypu920", {"u6wsjnbanfqasnmgkcuy", "j8pjbvk9m68k7b2ex5wa"}},
-                 {"tofi355", {"c4mwq7zt2rk9xd5hvn8p"}},
+                 {"tofi355", {"c4mwq7zt2rk9xd5hvn8p", "r8tq2vwm5zk7xn3jd6ph"}},
                  {"selo148", {"f2kd8vbn6yq3wj7xtm4z"}}};
   }
 
@@ -340,6 +341,9 @@
       if (!IsServed)
         return fail("the route of " + Entry.m_Database + " is not served");
     }
+    // The hosts that register during the start change the owners of databases.
+    constexpr int kSettleMs = 3'000;
+    sleepMs(kSettleMs);
     return true;
   }
 
