Read an address the same way in the check of an entry and in sockets

Cause: parseEndpoint accepted an octet with a leading zero, inet_pton does not, and connecting threw. The dispatchers of proxies and control hosts cannot assign an exception to a connection and end the process.

Ruled out: an entry damaged on its way (the log lines of all ended proxies name the address as it was sent) and an instance that ends its readers (the record has no connection to it).

Change: an octet with a leading zero is not an address, so the control host answers 400. Connecting no longer throws: an unreadable address and a connection that fails at once are reported like any other failed connection, for instances (proxies and control hosts), links and datagrams. The second part covers entries that an earlier build has accepted, and connections that fail at once for another reason, which were reported by nobody and cost their owner a timeout.

--- a/src/model/Values.cpp
+++ b/src/model/Values.cpp
@@ -34,7 +34,11 @@
   int Octets = 0;
   while (true) {
     size_t Dot = Text.find('.');
-    if (!parseNumber(Text.substr(0, Dot), kMaxOctet))
+    std::string_view Octet = Text.substr(0, Dot);
+    // Sockets do not accept an octet with a leading zero, which some programs
+    // read as an octal number.
+    bool HasLeadingZero = Octet.size() > 1 && Octet.front() == '0';
+    if (HasLeadingZero || !parseNumber(Octet, kMaxOctet))
       return false;
     ++Octets;
     if (Dot == std::string_view::npos)
--- a/src/net/Datagram.cpp
+++ b/src/net/Datagram.cpp
@@ -68,12 +68,14 @@
       throw Error(ErrorKind::Internal, "a datagram of " +
                                            std::to_string(Bytes.size()) +
                                            " bytes is too large");
-    sockaddr_in Address = toSocketAddress(Peer);
-    // A lost datagram is like one dropped by the network, so the result is not
-    // checked.
+    // A lost datagram is like one dropped by the network, so neither the
+    // address nor the result is checked.
+    std::optional<sockaddr_in> Address = parseSocketAddress(Peer);
+    if (!Address)
+      return;
     ssize_t Sent =
         ::sendto(m_Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT,
-                 reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+                 reinterpret_cast<sockaddr *>(&*Address), sizeof(*Address));
     if (Sent > 0)
       m_BytesSent += static_cast<uint64_t>(Sent);
   }
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -20,14 +20,21 @@
   return Result;
 }
 
-sockaddr_in toSocketAddress(const Endpoint &Value) {
+std::optional<sockaddr_in> parseSocketAddress(const Endpoint &Value) {
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Value.m_Port);
   if (inet_pton(AF_INET, Value.m_Address.c_str(), &Address.sin_addr) != 1)
+    return std::nullopt;
+  return Address;
+}
+
+sockaddr_in toSocketAddress(const Endpoint &Value) {
+  std::optional<sockaddr_in> Address = parseSocketAddress(Value);
+  if (!Address)
     throw Error(ErrorKind::BadRequest,
                 "'" + Value.m_Address + "' is not an IPv4 address");
-  return Address;
+  return *Address;
 }
 
 Endpoint fromSocketAddress(const sockaddr_in &Value) {
@@ -71,6 +78,13 @@
   return Listener;
 }
 
+bool startConnecting(bufferevent *Connection, const Endpoint &Peer) {
+  std::optional<sockaddr_in> Address = parseSocketAddress(Peer);
+  return Address && bufferevent_socket_connect(
+                        Connection, reinterpret_cast<sockaddr *>(&*Address),
+                        sizeof(*Address)) == 0;
+}
+
 uint64_t randomNumber() {
   uint64_t Value = 0;
   randombytes_buf(&Value, sizeof(Value));
--- a/src/net/LibeventHandles.h
+++ b/src/net/LibeventHandles.h
@@ -31,6 +31,8 @@
     std::unique_ptr<evhttp_connection, LibeventDeleter<evhttp_connection_free>>;
 
 timeval toTimeval(Duration Value);
+/// Returns nothing when Value holds no IPv4 address.
+std::optional<sockaddr_in> parseSocketAddress(const Endpoint &Value);
 /// Throws Error when Value holds no IPv4 address.
 sockaddr_in toSocketAddress(const Endpoint &Value);
 Endpoint fromSocketAddress(const sockaddr_in &Value);
@@ -43,6 +45,10 @@
 /// when the endpoint cannot be bound.
 ListenerHandle listenOn(EventLoop &Loop, const Endpoint &Local,
                         evconnlistener_cb OnAccept, void *Context);
+/// Starts to connect to Peer. Returns false when the connection failed at once,
+/// of which libevent reports nothing. The address of a peer comes from outside
+/// this process, so an unreadable one is a failed connection.
+bool startConnecting(bufferevent *Connection, const Endpoint &Peer);
 uint64_t randomNumber();
 
 } // namespace almondpier
--- a/src/net/LineStream.cpp
+++ b/src/net/LineStream.cpp
@@ -97,12 +97,12 @@
   std::unique_ptr<State> Opened = std::make_unique<State>();
   Opened->m_Limits = Limits;
   Opened->m_Callbacks = std::move(Callbacks);
-  sockaddr_in Address = toSocketAddress(Peer);
-  Opened->adopt(bufferevent_socket_new(
-      Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
-  bufferevent_socket_connect(Opened->m_Connection.get(),
-                             reinterpret_cast<sockaddr *>(&Address),
-                             sizeof(Address));
+  bufferevent *Connection = bufferevent_socket_new(
+      Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  Opened->adopt(Connection);
+  // Reported from the loop, because the caller does not hold the stream yet.
+  if (!startConnecting(Connection, Peer))
+    bufferevent_trigger_event(Connection, BEV_EVENT_ERROR, 0);
   return std::make_unique<LineStream>(std::move(Opened));
 }
 
--- a/src/net/Link.cpp
+++ b/src/net/Link.cpp
@@ -249,13 +249,10 @@
   std::unique_ptr<State> Opened =
       std::make_unique<State>(Loop, Secret, Role::Connector);
   Opened->m_Callbacks = std::move(Callbacks);
-  sockaddr_in Address = toSocketAddress(Peer);
   bufferevent *Connection = bufferevent_socket_new(
       Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   Opened->adopt(Connection);
-  if (bufferevent_socket_connect(Connection,
-                                 reinterpret_cast<sockaddr *>(&Address),
-                                 sizeof(Address)) != 0)
+  if (!startConnecting(Connection, Peer))
     Opened->fail("the connection could not be started");
   return std::make_unique<Link>(std::move(Opened));
 }
--- a/tests/model/ModelTest.cpp
+++ b/tests/model/ModelTest.cpp
@@ -79,6 +79,17 @@
   CHECK_THROWS_AS(decodeMessage(std::string(16, '\xff')), DecodeError);
 }
 
+TEST_CASE("an address with a leading zero is not an endpoint") {
+  // Guards against accepting an address that no socket accepts: the process
+  // that connects to it would end.
+  for (std::string_view Text : {"127.1.101.02:7000", "01.2.3.4:1", "1.2.3.00:1",
+                                "1.2.3.000004:1", "1.2.3.0x4:1"}) {
+    CAPTURE(Text);
+    CHECK_THROWS_AS(parseEndpoint(Text), std::invalid_argument);
+  }
+  CHECK((parseEndpoint("10.0.0.0:1") == Endpoint{"10.0.0.0", 1}));
+}
+
 TEST_CASE("endpoints and names are checked") {
   CHECK((parseEndpoint("127.0.0.1:80") == Endpoint{"127.0.0.1", 80}));
   for (std::string_view Text :
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -1,10 +1,12 @@
 #include "almondpier/Net.h"
 
 #include "FreeEndpoint.h"
+#include "net/LibeventHandles.h"
 
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
+#include <random>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -209,3 +211,54 @@
   CHECK(Answer.find("second") != std::string::npos);
   ::close(Socket);
 }
+
+TEST_CASE("every address that is accepted as an endpoint is accepted by "
+          "sockets") {
+  // Guards against two readings of an address: what the check of an entry
+  // accepts must not fail when a process connects to it.
+  constexpr std::string_view kCharacters = "0012559.:x ";
+  std::mt19937 Random(5);
+  size_t Accepted = 0;
+  for (int Round = 0; Round < 200'000; ++Round) {
+    std::string Text = "10.0.25.9:70";
+    for (uint32_t Count = Random() % 4; Count > 0; --Count)
+      Text[Random() % Text.size()] = kCharacters[Random() % kCharacters.size()];
+    try {
+      Endpoint Parsed = parseEndpoint(Text);
+      ++Accepted;
+      CAPTURE(Text);
+      CHECK_NOTHROW(toSocketAddress(Parsed));
+    } catch (const std::invalid_argument &) {
+      continue;
+    }
+  }
+  CHECK(Accepted > 1'000);
+}
+
+TEST_CASE("a connection to an unreadable or unusable address fails alone") {
+  // Guards against an exception from connecting, which ends the process and
+  // with it all other connections.
+  EventLoop Loop;
+  for (std::string Address :
+       {"127.1.101.02", "not an address", "", "255.255.255.255"}) {
+    CAPTURE(Address);
+    Endpoint Peer{Address, 7'000};
+    int LineClosed = 0;
+    std::unique_ptr<LineStream> Stream = LineStream::connect(
+        Loop, Peer, LineStream::Limits(),
+        {{}, {}, [&](const std::string & /*Reason*/) { ++LineClosed; }});
+    Stream->write("STARTUP\r\n");
+    int LinkDown = 0;
+    std::unique_ptr<Link> Opened = Link::connect(
+        Loop, kSecret, Peer,
+        {{}, {}, [&](const std::string & /*Reason*/) { ++LinkDown; }});
+    CHECK(LineClosed == 0);
+    runFor(Loop, std::chrono::milliseconds(100));
+    CHECK(LineClosed == 1);
+    CHECK(LinkDown == 1);
+  }
+  DatagramSocket Datagrams(Loop, kSecret, freeEndpoint(),
+                           [](const Endpoint &, const Message &) {});
+  CHECK_NOTHROW(
+      Datagrams.send(Endpoint{"127.1.101.02", 7'000}, Message(Ping())));
+}
--- a/tests/platform/JsonCodecTest.cpp
+++ b/tests/platform/JsonCodecTest.cpp
@@ -32,6 +32,20 @@
   return Text.replace(Place, From.size(), To);
 }
 
+const std::string kHeartbeat =
+    R"({"service":"huvo","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":3,"state":"ready","warmupLeftMs":0,"dbRole":"primary",)"
+    R"("seq":4,"born":1700000000000})";
+
+/// The heartbeat with another value of a field, given as JSON text.
+std::string heartbeatWith(const std::string &Field, const std::string &Value) {
+  std::string Text = kHeartbeat;
+  size_t Start = Text.find("\"" + Field + "\":");
+  REQUIRE(Start != std::string::npos);
+  Start += Field.size() + 3;
+  return Text.replace(Start, Text.find_first_of(",}", Start) - Start, Value);
+}
+
 } // namespace
 
 TEST_CASE("JSON codec: a configuration is decoded into the types of this "
@@ -87,25 +101,34 @@
 
 TEST_CASE("JSON codec: a heartbeat is decoded, and one with a missing or "
           "invalid field is rejected") {
-  const std::string Good =
-      R"({"service":"huvo","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
-      R"("slots":3,"state":"ready","warmupLeftMs":0,"dbRole":"primary",)"
-      R"("seq":4,"born":1700000000000})";
-  InstanceCheckIn CheckIn = decodeCheckIn("i-1", Good);
+  InstanceCheckIn CheckIn = decodeCheckIn("i-1", kHeartbeat);
   CHECK(CheckIn.m_Instance.m_IsPrimary);
   CHECK(CheckIn.m_Instance.m_StartedAtMs == 1'700'000'000'000);
   CHECK(CheckIn.m_Sequence == 4);
   for (const char *Field :
        {"service", "address", "zone", "slots", "state", "dbRole", "seq"}) {
-    std::string Missing = Good;
+    std::string Missing = kHeartbeat;
     Missing.replace(Missing.find(std::string("\"") + Field + "\"") + 1, 1, "X");
     CAPTURE(Missing);
     CHECK_THROWS_AS(decodeCheckIn("i-1", Missing), Error);
   }
-  CHECK_THROWS_AS(decodeCheckIn("i 1", Good), Error);
+  CHECK_THROWS_AS(decodeCheckIn("i 1", kHeartbeat), Error);
   CHECK_THROWS_AS(decodeCheckIn("i-1", "\xff\xfe"), Error);
 }
 
+TEST_CASE("JSON codec: a heartbeat with an address that sockets do not accept "
+          "is rejected") {
+  // Guards against an entry that ends each process that connects to it.
+  for (std::string Address :
+       {R"("127.1.101.02:7000")", R"("10.0.0.9:65536")", R"("10.0.0.9:-1")",
+        R"("10.0.0.9:0")", R"("10.0.0.9:99999999999999999999")",
+        R"("10.0.0.9")", R"("10.0.0.9\u0000:7000")"}) {
+    CAPTURE(Address);
+    CHECK_THROWS_AS(decodeCheckIn("i-1", heartbeatWith("address", Address)),
+                    Error);
+  }
+}
+
 TEST_CASE("JSON codec: mutated and truncated documents are decoded or "
           "rejected with Error") {
   std::mt19937 Random(11);
