Take the state of a transaction from each reply of an instance

Cause: for a reply that no session waits for, any reply to COMMIT or ROLLBACK counted as the end of the transaction. An instance without room answers a COMMIT with BUSY and leaves the transaction open; the connection returned to the pool in that state. The same at the owner of a group when the host that forwarded the COMMIT is lost.

Ruled out: a connection handed out while the COMMIT runs (no foreign statement before the reply) and session state taken over by another session (no foreign write on other connections).

Change: the transaction state in the reply decides, in one place for all replies, awaited or not. While a transaction is open, the connection is rolled back before its next use, and closed when the rollback leaves one open. The stand-ins of the tests now leave a transaction open at a rejection as overloaded, as instances do; they failed it before, so that no test could show this. The HTTP interface was read for the same cause: it closes a connection with a rejected COMMIT.

Tests, both failing on the code before: "session: a COMMIT that is rejected after its caller left ..." (5 of 5 writes in the foreign transaction, log at 100 in place of 105) and "owner: a COMMIT that is rejected after its entry host was killed ..." (log at 100 in place of 120).

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -424,6 +424,31 @@
   }
 }
 
+void StatementExecutor::recordReply(InstanceConnection &Connection,
+                                    const StatementReply &Reply) {
+  // Only the reply tells whether a transaction is open: an overloaded instance
+  // rejects a COMMIT and leaves the transaction as it was.
+  Connection.m_InTransaction = Reply.m_State != TransactionState::None;
+  switch (Connection.m_State) {
+  case ConnectionState::Resetting:
+    Connection.m_Variables.clear();
+    Connection.m_Prepared.clear();
+    Connection.m_NeedsReset = false;
+    break;
+  case ConnectionState::SettingVariable:
+    Connection.m_Variables[Connection.m_Sent.m_Name] =
+        Connection.m_Sent.m_Argument;
+    // It depends on the instance whether a rollback restores the old value.
+    Connection.m_NeedsReset |= Connection.m_InTransaction;
+    break;
+  case ConnectionState::Preparing:
+    Connection.m_Prepared.insert(Connection.m_Sent.m_Name);
+    break;
+  default:
+    break;
+  }
+}
+
 void StatementExecutor::onReplied(const InstanceReplied &Event, Time Now) {
   InstanceConnection *Connection = m_Pool.find(Event.m_Connection);
   if (Connection == nullptr)
@@ -435,43 +460,20 @@
     m_Tracker.onStatementSucceeded(Connection->m_Instance);
   if (IsRefused)
     recordError(*Connection, *Reply.m_Error, Now);
-  switch (Connection->m_State) {
-  case ConnectionState::Resetting:
-    Connection->m_Variables.clear();
-    Connection->m_Prepared.clear();
-    Connection->m_NeedsReset = false;
-    break;
-  case ConnectionState::SettingVariable:
-    Connection->m_Variables[Connection->m_Sent.m_Name] =
-        Connection->m_Sent.m_Argument;
-    // It depends on the instance whether a rollback restores the old value.
-    Connection->m_NeedsReset |= Connection->m_InTransaction;
-    break;
-  case ConnectionState::Preparing:
-    Connection->m_Prepared.insert(Connection->m_Sent.m_Name);
-    break;
-  default:
-    break;
-  }
+  recordReply(*Connection, Reply);
   auto Found = Connection->m_Session
                    ? m_Sessions.find(Connection->m_Session->m_Value)
                    : m_Sessions.end();
   bool IsAwaited = Found != m_Sessions.end() && Found->second.m_Pending &&
                    Found->second.m_Pending->m_Connection == Connection->m_Id;
   ConnectionState State = Connection->m_State;
-  if (State == ConnectionState::Beginning)
-    Connection->m_InTransaction = !IsRefused;
   if (State == ConnectionState::RollingBack) {
-    if (IsRefused)
+    if (IsRefused || Connection->m_InTransaction)
       return m_Pool.close(Connection->m_Id);
     return m_Pool.release(*Connection, Now);
   }
-  if (!IsAwaited) {
-    if (endsTransaction(Connection->m_Sent) &&
-        State == ConnectionState::Executing)
-      Connection->m_InTransaction = false;
+  if (!IsAwaited)
     return onUnclaimedReply(*Connection, Now);
-  }
   CallerSession &Session = Found->second;
   if (State == ConnectionState::Executing) {
     m_Tracker.recordLatency(Connection->m_Instance, Now - Connection->m_SentAt);
@@ -495,7 +497,6 @@
 
 void StatementExecutor::onUnclaimedReply(InstanceConnection &Connection,
                                          Time Now) {
-  Connection.m_Session.reset();
   releaseConnection(Connection, Now);
 }
 
@@ -578,7 +579,6 @@
   ++Session.m_StatementsRun;
   if (endsTransaction(CallerStatement) ||
       Reply.m_State == TransactionState::None) {
-    Connection.m_InTransaction = Reply.m_State != TransactionState::None;
     Session.m_PinnedConnection.reset();
     Reply.m_State = TransactionState::None;
     releaseConnection(Connection, Now);
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -97,6 +97,9 @@
                           Time Now);
   void onBeginReplied(CallerSession &Session, InstanceConnection &Connection,
                       const StatementReply &Reply, Time Now);
+  /// Updates what is known about the connection's session at the instance.
+  static void recordReply(InstanceConnection &Connection,
+                          const StatementReply &Reply);
   void onUnclaimedReply(InstanceConnection &Connection, Time Now);
   void recordError(const InstanceConnection &Connection, SessionError Error,
                    Time Now);
--- a/tests/session/OwnerTest.cpp
+++ b/tests/session/OwnerTest.cpp
@@ -170,6 +170,37 @@
   CHECK(Fleet.instance(0, 0).m_Position.m_Index == Before + 1);
 }
 
+TEST_CASE("owner: a COMMIT that is rejected after its entry host was killed "
+          "leaves no open transaction to other callers") {
+  // Guards against taking any reply to COMMIT for the end of the transaction
+  // where the session belongs to another host.
+  SessionFleet Fleet({.m_Hosts = 5});
+  warmUp(Fleet);
+  size_t Owner = Fleet.busiestOwner();
+  size_t Entry = entryHostOf(Fleet);
+  size_t Gone = Fleet.open(Entry, "own");
+  REQUIRE(!Fleet.sendAndWait(Gone, StatementKind::Begin).m_Error);
+  REQUIRE(!Fleet.sendAndWait(Gone, StatementKind::Write).m_Error);
+  size_t Rejected = 0;
+  Fleet.m_IsRejectedAsBusy = [&](const Statement &Sent) {
+    if (Sent.m_Kind != StatementKind::Commit)
+      return false;
+    ++Rejected;
+    Fleet.kill(Entry);
+    return true;
+  };
+  Fleet.send(Gone, StatementKind::Commit);
+  Fleet.run(milliseconds(100));
+  REQUIRE(Rejected == 1);
+  Fleet.m_IsRejectedAsBusy = {};
+  uint64_t Before = Fleet.instance(0, 0).m_Position.m_Index;
+  constexpr uint64_t kWrites = 20;
+  size_t Other = Fleet.open(Owner, "own");
+  for (uint64_t Count = 0; Count < kWrites; ++Count)
+    CHECK(!Fleet.sendAndWait(Other, StatementKind::Write).m_Error);
+  CHECK(Fleet.instance(0, 0).m_Position.m_Index == Before + kWrites);
+}
+
 TEST_CASE("owner: a planned stop under load answers every accepted "
           "statement") {
   SessionFleet Fleet({.m_Hosts = 5, .m_Organisations = 4});
--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -321,6 +321,8 @@
   std::vector<std::string> m_ExecutedRequests;
   /// Drops the messages from a host to another one for which it returns true.
   std::function<bool(size_t, size_t, const Message &)> m_DropsMessage;
+  /// Instances reject the statements for which it returns true as overloaded.
+  std::function<bool(const Statement &)> m_IsRejectedAsBusy;
   /// Hosts reach control hosts and instances, but not one another.
   bool m_IsPartitioned = false;
   std::vector<std::string> m_Decisions;
@@ -641,8 +643,10 @@
     bool NeedsSlot =
         Kind == StatementKind::Read || Kind == StatementKind::Write ||
         Kind == StatementKind::Execute || Kind == StatementKind::Commit;
-    bool IsFull = NeedsSlot && Receiver.m_Busy >= m_Shape.m_Slots &&
-                  Receiver.m_Queue.size() >= m_Shape.m_QueueLimit;
+    bool IsFull =
+        (NeedsSlot && Receiver.m_Busy >= m_Shape.m_Slots &&
+         Receiver.m_Queue.size() >= m_Shape.m_QueueLimit) ||
+        (m_IsRejectedAsBusy && m_IsRejectedAsBusy(Action.m_Statement));
     StatementReply Reply = replyOf(Receiver, Found->second, Action, IsFull);
     std::function<void()> Answer = [this, Key, Reply] {
       schedule(m_Shape.m_HopDelay, [this, Key, Reply] {
@@ -687,7 +691,9 @@
       Reply.m_Error = SessionError::Lagging;
     }
     if (Reply.m_Error) {
-      if (Used.m_State == TransactionState::Open)
+      // An overloaded instance did not run the statement and leaves the
+      // transaction open.
+      if (Used.m_State == TransactionState::Open && !IsFull)
         Used.m_State = TransactionState::Failed;
       Reply.m_State = Used.m_State;
       return Reply;
--- a/tests/session/SessionHarness.h
+++ b/tests/session/SessionHarness.h
@@ -296,7 +296,10 @@
     Reply.m_Error = errorOf(Instance, Connection, Action);
     const Statement &Sent = Action.m_Statement;
     if (Reply.m_Error) {
-      if (Connection.m_State == TransactionState::Open)
+      // An overloaded instance did not run the statement and leaves the
+      // transaction open.
+      if (Connection.m_State == TransactionState::Open &&
+          Reply.m_Error != SessionError::Busy)
         Connection.m_State = TransactionState::Failed;
       Reply.m_State = Connection.m_State;
       Reply.m_Position = Instance.m_Position;
--- a/tests/session/TransactionTest.cpp
+++ b/tests/session/TransactionTest.cpp
@@ -113,6 +113,35 @@
   CHECK(Harness.instance(0).m_Position.m_Index == 101);
 }
 
+TEST_CASE("session: a COMMIT that is rejected after its caller left leaves no "
+          "open transaction to other callers") {
+  // Guards against taking any reply to COMMIT for the end of the transaction:
+  // the writes of other callers would run inside it and be lost with it.
+  SessionHarness Harness(1, 2);
+  SessionId Gone = Harness.open("primary");
+  REQUIRE(!Harness.sendAndWait(Gone, SessionHarness::begin()).m_Error);
+  REQUIRE(!Harness.sendAndWait(Gone, SessionHarness::write()).m_Error);
+  Harness.instance(0).m_ForcedError = SessionError::Busy;
+  Harness.send(Gone, SessionHarness::commit());
+  Harness.close(Gone);
+  Harness.run(milliseconds(50));
+  CHECK(Harness.receivedCount(0, StatementKind::Commit) == 1);
+  CHECK(Harness.receivedCount(0, StatementKind::Rollback) == 1);
+  Harness.instance(0).m_ForcedError.reset();
+  size_t InForeignTransaction = 0;
+  Harness.m_OnRun = [&](const SessionHarness::OpenConnection &Used,
+                        const Statement &Run) {
+    if (Run.m_Kind == StatementKind::Write &&
+        Used.m_State != TransactionState::None)
+      ++InForeignTransaction;
+  };
+  SessionId Other = Harness.open("primary");
+  for (int Count = 0; Count < 5; ++Count)
+    CHECK(!Harness.sendAndWait(Other, SessionHarness::write()).m_Error);
+  CHECK(InForeignTransaction == 0);
+  CHECK(Harness.instance(0).m_Position.m_Index == 105);
+}
+
 TEST_CASE("session: after the revocation of its key a session can only end "
           "its transaction") {
   // Guards against closing the session when its key is rejected: the caller
