Close a connection whose preparation was rejected after its caller left

A caller could see its statement run with other session values than were acknowledged to it.

Cause: the reply to SET, PREPARE or RESET was recorded as success whatever it said. When a session waits for it, a rejection closes the connection; when the caller has left, the connection returned to the pool with a variable or prepared name that the instance does not have. The next session with the same value did not set it again.

Change: only an accepted statement is recorded, and a rejected one closes the connection, as where a session waits.

Test, failing on the code before: "session: a variable that an instance rejects after its caller left is not taken for set" (the next write ran without the variable).

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -429,6 +429,8 @@
   // Only the reply tells whether a transaction is open: an overloaded instance
   // rejects a COMMIT and leaves the transaction as it was.
   Connection.m_InTransaction = Reply.m_State != TransactionState::None;
+  if (Reply.m_Error)
+    return;
   switch (Connection.m_State) {
   case ConnectionState::Resetting:
     Connection.m_Variables.clear();
@@ -473,7 +475,7 @@
     return m_Pool.release(*Connection, Now);
   }
   if (!IsAwaited)
-    return onUnclaimedReply(*Connection, Now);
+    return onUnclaimedReply(*Connection, IsRefused, Now);
   CallerSession &Session = Found->second;
   if (State == ConnectionState::Executing) {
     m_Tracker.recordLatency(Connection->m_Instance, Now - Connection->m_SentAt);
@@ -496,7 +498,14 @@
 }
 
 void StatementExecutor::onUnclaimedReply(InstanceConnection &Connection,
-                                         Time Now) {
+                                         bool IsRefused, Time Now) {
+  // The state of the connection is unknown after a failed preparatory
+  // statement.
+  bool IsPreparatory = Connection.m_State == ConnectionState::Resetting ||
+                       Connection.m_State == ConnectionState::SettingVariable ||
+                       Connection.m_State == ConnectionState::Preparing;
+  if (IsPreparatory && IsRefused)
+    return m_Pool.close(Connection.m_Id);
   releaseConnection(Connection, Now);
 }
 
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -100,7 +100,8 @@
   /// Updates what is known about the connection's session at the instance.
   static void recordReply(InstanceConnection &Connection,
                           const StatementReply &Reply);
-  void onUnclaimedReply(InstanceConnection &Connection, Time Now);
+  void onUnclaimedReply(InstanceConnection &Connection, bool IsRefused,
+                        Time Now);
   void recordError(const InstanceConnection &Connection, SessionError Error,
                    Time Now);
   /// Returns the connection to the pool, after a rollback when a transaction is
--- a/tests/session/TransactionTest.cpp
+++ b/tests/session/TransactionTest.cpp
@@ -142,6 +142,31 @@
   CHECK(Harness.instance(0).m_Position.m_Index == 105);
 }
 
+TEST_CASE("session: a variable that an instance rejects after its caller left "
+          "is not taken for set") {
+  // Guards against recording a variable whatever the instance replied: the
+  // next statement on the connection would run without it.
+  SessionHarness Harness(1, 2);
+  SessionId Gone = Harness.open("primary");
+  REQUIRE(!Harness.sendAndWait(Gone, SessionHarness::write()).m_Error);
+  REQUIRE(!Harness.sendAndWait(Gone, SessionHarness::set("tz", "a")).m_Error);
+  Harness.instance(0).m_ForcedError = SessionError::Failed;
+  Harness.send(Gone, SessionHarness::write());
+  Harness.close(Gone);
+  Harness.run(milliseconds(50));
+  REQUIRE(Harness.receivedCount(0, StatementKind::SetVariable) == 1);
+  Harness.instance(0).m_ForcedError.reset();
+  std::map<std::string, std::string> SeenVariables;
+  Harness.m_OnRun = [&](const SessionHarness::OpenConnection &Used,
+                        const Statement & /*Run*/) {
+    SeenVariables = Used.m_Variables;
+  };
+  SessionId Other = Harness.open("primary");
+  REQUIRE(!Harness.sendAndWait(Other, SessionHarness::set("tz", "a")).m_Error);
+  CHECK(!Harness.sendAndWait(Other, SessionHarness::write()).m_Error);
+  CHECK(SeenVariables.count("tz") == 1);
+}
+
 TEST_CASE("session: after the revocation of its key a session can only end "
           "its transaction") {
   // Guards against closing the session when its key is rejected: the caller
