Check the key of an open transaction whatever became of its route

Cause: one check answered whether a new operation may begin on the route and whether the caller still holds its key, and ended at the first reason to refuse. Inside a transaction the reason "no such route" was dropped, because a removal takes effect with the next transaction, and the check of the key with it.

Ruled out: a host without the new configuration and an owner that runs statements under an older one (a second caller with the same key, on a route that is kept, is refused at its first statement after the change).

Change: statements of an open transaction have a check of their own. The key must still belong to the organisation for which the transaction began; the route is not looked at. Found on the same path and covered by it: a key that moved to another organisation; a withdrawn key on a route that admits callers without one, which counted as no key while the transaction went on under its organisation; and a route that stops admitting callers without a key, which ended their transactions although it applies to the next one. The HTTP interface checks the key first and was not affected.

Tests, all failing on the code before: "session: a transaction ends when its key is withdrawn together with its route" (the write and the COMMIT ran), "... when its key is moved ...", "... on a route that admits callers without a key ..." and "session: a transaction keeps a route ...".

--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -78,6 +78,9 @@
   RouteName m_Route;
   std::optional<KeyDigest> m_Key;
   OrganisationName m_Organisation;
+  /// The last transaction or autocommit statement was admitted by the key, and
+  /// not because its route admits callers without one.
+  bool m_IsAdmittedByKey = false;
   /// Policy of the route, refreshed at the start of each transaction or
   /// autocommit statement.
   RoutePolicy m_Policy;
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -114,6 +114,22 @@
   return std::nullopt;
 }
 
+std::optional<SessionError>
+SessionController::checkOpenTransaction(const CallerSession &Session,
+                                        Time Now) const {
+  if (!isFresh(Now))
+    return SessionError::Busy;
+  // A change or removal of the route takes effect with the next transaction. A
+  // key that is withdrawn or moved ends this one, whatever became of the route.
+  if (!Session.m_IsAdmittedByKey)
+    return std::nullopt;
+  const std::pair<const KeyId, KeyRecord> *Key =
+      m_Board.m_Configuration.findKey(*Session.m_Key);
+  if (Key == nullptr || Key->second.m_Organisation != Session.m_Organisation)
+    return SessionError::UnknownKey;
+  return std::nullopt;
+}
+
 std::optional<SessionError> SessionController::admit(CallerSession &Session,
                                                      Time Now) {
   if (std::optional<SessionError> Refusal = checkAdmission(Session, Now))
@@ -122,6 +138,7 @@
   Session.m_Policy = InForce.policy().m_Routes.at(Session.m_Route);
   const std::pair<const KeyId, KeyRecord> *Key =
       Session.m_Key ? InForce.findKey(*Session.m_Key) : nullptr;
+  Session.m_IsAdmittedByKey = Key != nullptr;
   // Instances receive the organisation of each connection; "-" denotes a caller
   // without a key.
   Session.m_Organisation =
@@ -257,10 +274,7 @@
   bool IsAutocommit = Session.m_State == TransactionState::None;
   setPending(Session, std::move(Received), Now);
   std::optional<SessionError> Refusal =
-      IsAutocommit ? admit(Session, Now) : checkAdmission(Session, Now);
-  // A change or removal of a route takes effect with the next transaction.
-  if (!IsAutocommit && Refusal == SessionError::UnknownDatabase)
-    Refusal.reset();
+      IsAutocommit ? admit(Session, Now) : checkOpenTransaction(Session, Now);
   if (Refusal) {
     Session.m_Pending.reset();
     abortTransaction(Session, Now);
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -86,6 +86,10 @@
   /// Returns the reason for which an operation is rejected, if any.
   std::optional<SessionError> checkAdmission(const CallerSession &Session,
                                              Time Now) const;
+  /// Returns the reason for which a statement of an open transaction is
+  /// rejected, if any.
+  std::optional<SessionError> checkOpenTransaction(const CallerSession &Session,
+                                                   Time Now) const;
   /// Checks the admission of a new operation and refreshes the session's copy
   /// of the route policy.
   std::optional<SessionError> admit(CallerSession &Session, Time Now);
--- a/tests/session/SessionHarness.h
+++ b/tests/session/SessionHarness.h
@@ -76,6 +76,10 @@
     Policy.m_Routes[RouteName{"bounded-staleness"}] = Route;
     Route.m_Guarantee = ReadGuarantee::ReadYourWrites;
     Policy.m_Routes[RouteName{"read-your-writes"}] = Route;
+    for (auto &[Name, Installed] : Policy.m_Routes)
+      Installed.m_AllowsAnonymous = m_AllowsAnonymous;
+    for (const RouteName &Removed : m_RemovedRoutes)
+      Policy.m_Routes.erase(Removed);
     Policy.m_TransactionIdleMs = 3'000;
     m_Control.accept(InstallPolicy{Policy, ""});
   }
@@ -205,6 +209,10 @@
   FakeControl m_Control;
   std::map<OrganisationName, std::string> m_Keys{
       {OrganisationName{"ann"}, "key-a"}, {OrganisationName{"bob"}, "key-b"}};
+  /// Routes that the next policy lacks.
+  std::set<RouteName> m_RemovedRoutes;
+  /// The routes of the next policy admit callers without a key.
+  bool m_AllowsAnonymous = false;
   /// The control hosts are unreachable.
   bool m_IsControlDown = false;
   std::map<SessionId, std::vector<StatementReply>> m_Replies;
--- a/tests/session/TransactionTest.cpp
+++ b/tests/session/TransactionTest.cpp
@@ -190,6 +190,92 @@
   CHECK(Harness.receivedCount(0, StatementKind::Write) == 1);
 }
 
+TEST_CASE("session: a transaction ends when its key is withdrawn together "
+          "with its route") {
+  // Guards against checking the key only where the route is kept: the caller
+  // would go on reading and writing inside its transaction.
+  SessionHarness Harness;
+  SessionId Id = Harness.open("primary");
+  REQUIRE(!Harness.sendAndWait(Id, SessionHarness::begin()).m_Error);
+  REQUIRE(!Harness.sendAndWait(Id, SessionHarness::write()).m_Error);
+  Harness.m_Keys.erase(OrganisationName{"ann"});
+  Harness.m_RemovedRoutes = {RouteName{"primary"}};
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  StatementReply Refused = Harness.sendAndWait(Id, SessionHarness::write());
+  CHECK(Refused.m_Error == SessionError::UnknownKey);
+  CHECK(Refused.m_State == TransactionState::Failed);
+  CHECK(Harness.sendAndWait(Id, SessionHarness::commit()).m_Error ==
+        SessionError::Aborted);
+  CHECK(Harness.receivedCount(0, StatementKind::Write) == 1);
+  CHECK(Harness.receivedCount(0, StatementKind::Commit) == 0);
+}
+
+TEST_CASE("session: a transaction ends when its key is moved to another "
+          "organisation and its route is removed") {
+  // Guards against running statements for an organisation that no longer holds
+  // the caller's key.
+  SessionHarness Harness;
+  SessionId Id = Harness.open("primary");
+  REQUIRE(!Harness.sendAndWait(Id, SessionHarness::begin()).m_Error);
+  REQUIRE(!Harness.sendAndWait(Id, SessionHarness::write()).m_Error);
+  Harness.m_Keys.erase(OrganisationName{"ann"});
+  Harness.m_Keys[OrganisationName{"bob"}] = "key-a";
+  Harness.m_RemovedRoutes = {RouteName{"primary"}};
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  CHECK(Harness.sendAndWait(Id, SessionHarness::commit()).m_Error ==
+        SessionError::UnknownKey);
+  CHECK(Harness.receivedCount(0, StatementKind::Commit) == 0);
+}
+
+TEST_CASE("session: a transaction on a route that admits callers without a "
+          "key ends when its key is withdrawn") {
+  // Guards against taking a withdrawn key for no key at all: the transaction
+  // would go on under the name of the key's organisation.
+  SessionHarness Harness;
+  Harness.m_AllowsAnonymous = true;
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  SessionId Id = Harness.open("primary");
+  REQUIRE(!Harness.sendAndWait(Id, SessionHarness::begin()).m_Error);
+  REQUIRE(!Harness.sendAndWait(Id, SessionHarness::write()).m_Error);
+  Harness.m_Keys.erase(OrganisationName{"ann"});
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  CHECK(Harness.sendAndWait(Id, SessionHarness::write()).m_Error ==
+        SessionError::UnknownKey);
+  CHECK(Harness.receivedCount(0, StatementKind::Write) == 1);
+}
+
+TEST_CASE("session: a transaction keeps a route that is removed or no longer "
+          "admits callers without a key") {
+  // Guards against ending a transaction by a change of its route, which takes
+  // effect with the next transaction.
+  SessionHarness Harness;
+  Harness.m_AllowsAnonymous = true;
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  SessionId Known = Harness.open("primary");
+  SessionId Unknown = Harness.open("primary", "key-of-nobody");
+  for (SessionId Id : {Known, Unknown}) {
+    REQUIRE(!Harness.sendAndWait(Id, SessionHarness::begin()).m_Error);
+    REQUIRE(!Harness.sendAndWait(Id, SessionHarness::write()).m_Error);
+  }
+  Harness.m_AllowsAnonymous = false;
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  for (SessionId Id : {Known, Unknown})
+    CHECK(!Harness.sendAndWait(Id, SessionHarness::write()).m_Error);
+  Harness.m_RemovedRoutes = {RouteName{"primary"}};
+  Harness.installPolicy();
+  Harness.run(milliseconds(300));
+  for (SessionId Id : {Known, Unknown})
+    CHECK(!Harness.sendAndWait(Id, SessionHarness::commit()).m_Error);
+  CHECK(Harness.sendAndWait(Known, SessionHarness::read()).m_Error ==
+        SessionError::UnknownDatabase);
+}
+
 TEST_CASE("session: a shutdown keeps idle sessions until load balancers "
           "stop sending, and open transactions for half of the grace period") {
   SessionHarness Harness;
