--- a/src/decision/control/ControlBlackboard.cpp
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -33,7 +33,14 @@
   Proposed.m_ExpectedVersion = m_Board.configuration().version();
   Proposed.m_WallTimeMs = m_Board.m_WallTimeMs;
   Proposed.m_Body = Body;
-  m_Log.propose(encode(Proposed), m_Now);
+  try {
+    m_Log.propose(encode(Proposed), m_Now);
+  } catch (const Error &Refusal) {
+    // Such a change holds what instances and hosts report about themselves. One
+    // that is too large for the log must not end the process.
+    reportStateChange("a change by " + Actor +
+                      " is not recorded: " + Refusal.what());
+  }
 }
 
 void ControlContext::reportStateChange(std::string Text) {
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -95,7 +95,8 @@
   ControlActions &m_Actions;
   Time m_Now;
 
-  /// Appends a change by the system to the log, at the leader.
+  /// Appends a change by the system to the log, at the leader. A change that is
+  /// too large for the log is reported and dropped.
   void proposeBySystem(const ChangeBody &Body, const std::string &Actor);
   void reportStateChange(std::string Text);
   void refuseAsFollower(OperationId Id);
--- a/tests/control/PromotionTest.cpp
+++ b/tests/control/PromotionTest.cpp
@@ -225,6 +225,24 @@
   CHECK(Test.directoryEntry("c") == nullptr);
 }
 
+TEST_CASE("directory: an entry that does not fit the log is not recorded and "
+          "the control hosts go on") {
+  // Guards against one oversized entry, relayed by a host of an earlier build,
+  // that ends each leader in turn.
+  Group Test;
+  Test.m_Sim.run(std::chrono::seconds(2));
+  InstanceCheckIn Oversized = checkInOf("d", false, 1, 9);
+  Oversized.m_Instance.m_Zone = AvailabilityZone{std::string(600'000, 'z')};
+  Test.checkIn(Oversized);
+  for (int Step = 0; Step < 5; ++Step) {
+    Test.m_Sim.run(milliseconds(500));
+    Test.checkInAll();
+  }
+  REQUIRE(Test.m_Sim.leader().has_value());
+  CHECK(Test.directoryEntry("a") != nullptr);
+  CHECK(Test.m_Sim.board(Test.leader()).m_State.directory().size() == 3);
+}
+
 TEST_CASE("directory: a primary behind a partition loses its role when another "
           "instance claims it") {
   // Guards against hosts that keep using a primary behind a partition because
--- a/tests/platform/JsonCodecTest.cpp
+++ b/tests/platform/JsonCodecTest.cpp
@@ -129,6 +129,46 @@
   }
 }
 
+TEST_CASE("JSON codec: a heartbeat with an oversized field is rejected") {
+  // Guards against one odd entry that ends the control hosts, because the
+  // directory no longer fits a log entry.
+  const std::pair<std::string, size_t> Oversized[] = {
+      {"zone", 65}, {"zone", 500'000}, {"version", 500'000}, {"service", 65}};
+  for (const std::pair<std::string, size_t> &Field : Oversized) {
+    CAPTURE(Field.first);
+    CAPTURE(Field.second);
+    std::string Value = "\"" + std::string(Field.second, 'z') + "\"";
+    CHECK_THROWS_AS(decodeCheckIn("i-1", heartbeatWith(Field.first, Value)),
+                    Error);
+  }
+  std::string Longest = "\"" + std::string(64, 'z') + "\"";
+  CHECK_NOTHROW(decodeCheckIn("i-1", heartbeatWith("zone", Longest)));
+  CHECK_THROWS_AS(decodeInstanceName(std::string(65, 'i')), Error);
+  CHECK_THROWS_AS(decodeInstanceName(""), Error);
+}
+
+TEST_CASE("JSON codec: deeply nested documents are decoded or rejected with "
+          "Error") {
+  // Guards against a decoder that recurses: its stack would end the process.
+  auto Nested = [](size_t Depth, bool IsClosed) {
+    return std::string(Depth, '[') + (IsClosed ? std::string(Depth, ']') : "");
+  };
+  CHECK_THROWS_AS(
+      decodeCheckIn("i-1", heartbeatWith("slots", Nested(1'000, true))), Error);
+  CHECK_NOTHROW(
+      decodeCheckIn("i-1", heartbeatWith("version", Nested(7'000, true))));
+  for (bool IsClosed : {false, true}) {
+    CHECK_THROWS_AS(decodeCheckIn("i-1", Nested(8'000, IsClosed)), Error);
+    CHECK_THROWS_AS(decodeCheckIn("i-1", Nested(500'000, IsClosed)), Error);
+    CHECK_THROWS_AS(decodeConfiguration(Nested(500'000, IsClosed), kWindow),
+                    Error);
+  }
+  CHECK_NOTHROW(
+      decodeConfiguration(replaced(R"("version":7)", R"("version":7,"later":)" +
+                                                         Nested(200'000, true)),
+                          kWindow));
+}
+
 TEST_CASE("JSON codec: mutated and truncated documents are decoded or "
           "rejected with Error") {
   std::mt19937 Random(11);
