Reject heartbeats with numbers that no correct sender reaches

One heartbeat under the name of a sound instance with a sequence number or start time near 2^64 hides that instance: its true heartbeats have lower numbers, are ignored as late, and after 20 s it is dropped (read in the directory controller; not played).

Cause: "seq" and "born" were accepted up to the largest 64-bit number.

Test, failing on the code before: "JSON codec: a heartbeat with a number out of range is rejected" (2^64 - 1 and 2^53 + 1 accepted; other numbers were rejected before).

--- a/tests/platform/JsonCodecTest.cpp
+++ b/tests/platform/JsonCodecTest.cpp
@@ -147,6 +147,29 @@
   CHECK_THROWS_AS(decodeInstanceName(""), Error);
 }
 
+TEST_CASE("JSON codec: a heartbeat with a number out of range is rejected") {
+  // Guards against one odd entry after which the true heartbeats of an instance
+  // are ignored, because their numbers are lower.
+  const std::pair<std::string, std::string> Invalid[] = {
+      {"seq", "18446744073709551615"},
+      {"seq", "18446744073709551616"},
+      {"seq", "9007199254740993"},
+      {"seq", "1e400"},
+      {"seq", "-1"},
+      {"born", "18446744073709551615"},
+      {"born", "1e18"},
+      {"slots", "4294967296"},
+      {"slots", "1e999"}};
+  for (const std::pair<std::string, std::string> &Entry : Invalid) {
+    CAPTURE(Entry.first);
+    CAPTURE(Entry.second);
+    CHECK_THROWS_AS(
+        decodeCheckIn("i-1", heartbeatWith(Entry.first, Entry.second)), Error);
+  }
+  CHECK(decodeCheckIn("i-1", heartbeatWith("seq", "9007199254740992"))
+            .m_Sequence == 9'007'199'254'740'992);
+}
+
 TEST_CASE("JSON codec: deeply nested documents are decoded or rejected with "
           "Error") {
   // Guards against a decoder that recurses: its stack would end the process.
