Give each server of a test an endpoint of its own

Cause: freeEndpoint() asks the system for a free port and closes the socket, so the system may choose the same port again before the first server listens. The second proxy of the test was being started and had taken two endpoints just before.

The log does not show which of the servers had the port, so this is the cause that is shown to be possible and not one that was observed.

--- a/tests/FreeEndpoint.cpp
+++ b/tests/FreeEndpoint.cpp
@@ -1,5 +1,6 @@
 #include "FreeEndpoint.h"
 
+#include <set>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -8,7 +9,7 @@
 
 namespace almondpier {
 
-Endpoint freeEndpoint() {
+static uint16_t freePort() {
   int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
@@ -20,7 +21,17 @@
   ::close(Socket);
   if (!IsBound)
     throw std::runtime_error("no free port on loopback");
-  return Endpoint{"127.0.0.1", ntohs(Address.sin_port)};
+  return ntohs(Address.sin_port);
+}
+
+Endpoint freeEndpoint() {
+  // The system may choose a port that it has chosen before, because nobody
+  // listens on it yet.
+  static std::set<uint16_t> Returned;
+  uint16_t Port = freePort();
+  while (!Returned.insert(Port).second)
+    Port = freePort();
+  return Endpoint{"127.0.0.1", Port};
 }
 
 } // namespace almondpier
--- a/tests/FreeEndpoint.h
+++ b/tests/FreeEndpoint.h
@@ -6,7 +6,8 @@
 
 namespace almondpier {
 
-/// Returns a loopback endpoint that was free a moment ago.
+/// Returns a loopback endpoint that was free a moment ago and that this process
+/// has not been given before.
 Endpoint freeEndpoint();
 
 } // namespace almondpier
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <random>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -262,3 +263,13 @@
   CHECK_NOTHROW(
       Datagrams.send(Endpoint{"127.1.101.02", 7'000}, Message(Ping())));
 }
+
+TEST_CASE("no two servers of a test are given the same endpoint") {
+  // Guards against a server that cannot listen because another one of the same
+  // test was given its port.
+  constexpr size_t kEndpoints = 2'000;
+  std::set<Endpoint> Given;
+  for (size_t Count = 0; Count < kEndpoints; ++Count)
+    Given.insert(freeEndpoint());
+  CHECK(Given.size() == kEndpoints);
+}
