Publish what hosts can carry in the replicated configuration

Cause: owners of groups are chosen by names alone, because no host knows what another one can carry. Change: a proxy whose settings give the bandwidth of its link or its share of a processor reports both by UDP beside one heartbeat in four (HostCapacityReport). The leader records a new value in the log (SetHostCapacity); proxies get it with their polls.

--- a/include/almondpier/Messages.h
+++ b/include/almondpier/Messages.h
@@ -351,6 +351,18 @@
 /// snapshot one by one.
 constexpr uint64_t kRequestsSnapshotParts = 2;
 
+// Value of PollRequest::m_LiveHostsVersion in polls without m_WantsLiveHosts.
+// It is 0 in those of earlier versions.
+
+/// The sender applies SetHostCapacity and EvacuateZone, and reads snapshots
+/// with a ConfigurationExtension.
+constexpr uint64_t kReadsConfigurationExtension = 1;
+
+/// Set in ReadIndexRequest::m_Sequence by control hosts that apply
+/// SetHostCapacity and EvacuateZone. Leaders of earlier versions only echo the
+/// sequence.
+constexpr uint64_t kAppliesExtensionBit = uint64_t{1} << 63U;
+
 struct PollRequest {
   HostRecord m_Host;
   uint64_t m_Incarnation = 0;
@@ -522,6 +534,18 @@
     Ar(m_Host, m_Ready, m_AppliedIndex, m_Reports, m_IsPartial);
   }
 };
+/// Sent by a proxy over UDP beside its heartbeats, if its settings say what the
+/// host can carry. Control hosts of earlier versions drop it.
+struct HostCapacityReport {
+  HostName m_Host;
+  HostCapacity m_Capacity;
+
+  friend auto operator<=>(const HostCapacityReport &,
+                          const HostCapacityReport &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Host, m_Capacity);
+  }
+};
 /// Tells the sender of a datagram which nonce the receiver expects.
 struct HeartbeatNonce {
   uint64_t m_Nonce = 0;
@@ -766,7 +790,7 @@
                  ForwardCancel, InstanceCheckIn, MembersRequest, MembersReply,
                  ForwardedStatement, ForwardedStatementReply,
                  ForwardedSessionEnd, OwnerStatus, ConfigurationPartRequest,
-                 ConfigurationPart>;
+                 ConfigurationPart, HostCapacityReport>;
 
 /// Returns a hash to compare lists of members; never 0.
 uint64_t digestOf(const std::vector<ControlMember> &Members);
@@ -779,7 +803,11 @@
 /// Throws DecodeError.
 Change decodeChange(std::string_view Bytes);
 
-std::string encode(const Configuration &Configuration);
+/// Builds before ConfigurationExtension read only encodings without it.
+enum class ConfigurationEncoding : uint8_t { WithExtension, WithoutExtension };
+std::string
+encode(const Configuration &Configuration,
+       ConfigurationEncoding Encoding = ConfigurationEncoding::WithExtension);
 /// Throws DecodeError.
 Configuration decodeConfiguration(std::string_view Bytes);
 
--- a/include/almondpier/Model.h
+++ b/include/almondpier/Model.h
@@ -258,6 +258,23 @@
   }
 };
 
+/// What a host can carry, from its settings. A member is 0 when the settings do
+/// not give it.
+struct HostCapacity {
+  /// Bandwidth of the host's link in each direction.
+  uint32_t m_LinkKbitPerSecond = 0;
+  /// Share of a processor core, in thousandths.
+  uint32_t m_ProcessorPermille = 0;
+
+  bool isKnown() const {
+    return m_LinkKbitPerSecond != 0 || m_ProcessorPermille != 0;
+  }
+  friend auto operator<=>(const HostCapacity &, const HostCapacity &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_LinkKbitPerSecond, m_ProcessorPermille);
+  }
+};
+
 /// A database instance as described in its announcement.
 struct InstanceRecord {
   DatabaseName m_Database;
@@ -608,12 +625,38 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(m_Instances); }
 };
 
+/// Records what a registered host can carry.
+struct SetHostCapacity {
+  HostName m_Host;
+  HostCapacity m_Capacity;
+
+  friend auto operator<=>(const SetHostCapacity &,
+                          const SetHostCapacity &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Host, m_Capacity);
+  }
+};
+
+/// Takes all instances of an availability zone out of use, or, when
+/// m_IsEvacuated is false, returns them to use. Repeating it has no effect, so
+/// it needs neither an expected configuration version nor a change identifier;
+/// of two opposite orders the later one in the log counts.
+struct EvacuateZone {
+  AvailabilityZone m_Zone;
+  bool m_IsEvacuated = true;
+
+  friend auto operator<=>(const EvacuateZone &, const EvacuateZone &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_Zone, m_IsEvacuated);
+  }
+};
+
 using ChangeBody =
     std::variant<CreateOrganisation, RemoveOrganisation, IssueKey, RevokeKey,
                  DefinePreset, ActivatePreset, DrainInstance, RemoveInstance,
                  RemoveHost, RecordMembership, RegisterHost, RegisterInstance,
                  BeginTerm, ElectPrimary, AdmitInstance, InstallPolicy,
-                 RecordDirectory, AmendPolicy>;
+                 RecordDirectory, AmendPolicy, SetHostCapacity, EvacuateZone>;
 
 /// Returns whether changes of this type are made by operators rather than by
 /// the system.
@@ -657,6 +700,23 @@
   }
 };
 
+/// The part of the configuration that builds before it do not know. An encoded
+/// configuration ends with it, unless it is empty, so that earlier builds read
+/// the configurations of deployments that do not use it.
+struct ConfigurationExtension {
+  std::map<HostName, HostCapacity> m_HostCapacities;
+  std::set<AvailabilityZone> m_EvacuatedZones;
+
+  bool empty() const {
+    return m_HostCapacities.empty() && m_EvacuatedZones.empty();
+  }
+  friend auto operator<=>(const ConfigurationExtension &,
+                          const ConfigurationExtension &) = default;
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(m_HostCapacities, m_EvacuatedZones);
+  }
+};
+
 /// The replicated configuration, of which every proxy holds a copy.
 class Configuration {
 public:
@@ -685,6 +745,22 @@
   /// The current policy document; its version is 0 before the first one is
   /// installed.
   const FleetPolicy &policy() const { return m_Policy; }
+  /// Capacities of the registered hosts that published one.
+  const std::map<HostName, HostCapacity> &hostCapacities() const {
+    return m_Extension.m_HostCapacities;
+  }
+  /// Zones whose instances must receive no statements.
+  const std::set<AvailabilityZone> &evacuatedZones() const {
+    return m_Extension.m_EvacuatedZones;
+  }
+  bool isEvacuated(const AvailabilityZone &Zone) const {
+    return m_Extension.m_EvacuatedZones.contains(Zone);
+  }
+  /// Not part of serialize(); the caller encodes it after everything else.
+  const ConfigurationExtension &extension() const { return m_Extension; }
+  void setExtension(ConfigurationExtension Extension) {
+    m_Extension = std::move(Extension);
+  }
   /// Returns the group of this name, or null.
   const DatabaseRecord *findDatabase(const DatabaseName &Database) const;
 
@@ -707,6 +783,7 @@
   std::map<DatabaseName, DatabaseRecord> m_Databases;
   std::map<HostName, HostRecord> m_Hosts;
   FleetPolicy m_Policy;
+  ConfigurationExtension m_Extension;
 };
 
 } // namespace almondpier
--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -69,6 +69,8 @@
   /// Record of this host. m_ForwardEndpoint is the endpoint from which it sends
   /// datagrams and on which it accepts links.
   HostRecord m_Host;
+  /// Published to the other hosts, which choose the owners of groups by it.
+  HostCapacity m_Capacity;
   /// TCP endpoint for callers.
   Endpoint m_Listen;
   /// HTTP endpoint for readiness probes and metrics.
@@ -104,6 +106,8 @@
   static constexpr std::chrono::milliseconds kFlushTime{200};
   static constexpr std::chrono::seconds kCloseTimeout{3};
 
+  static ProxyOptions makeOptions(const SessionServerSettings &Settings);
+
   struct Caller {
     std::unique_ptr<LineStream> m_Stream;
     Time m_ConnectedAt;
--- a/src/decision/control/ControlBlackboard.cpp
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -20,6 +20,17 @@
       [&](const ControlMember &Voter) { return Voter.m_Peer == Peer; });
 }
 
+bool ControlBlackboard::canExtendConfiguration() const {
+  auto AppliesExtension = [&](const ControlMember &Member) {
+    return Member.m_Id == m_Self.m_Id ||
+           m_ExtensionMembers.contains(Member.m_Id);
+  };
+  return std::all_of(m_Membership.m_Voters.begin(), m_Membership.m_Voters.end(),
+                     AppliesExtension) &&
+         std::all_of(m_Membership.m_Learners.begin(),
+                     m_Membership.m_Learners.end(), AppliesExtension);
+}
+
 bool ControlBlackboard::isDurable() const {
   return std::all_of(
       m_Membership.m_Voters.begin(), m_Membership.m_Voters.end(),
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -66,6 +66,10 @@
   /// relayed it to this leader.
   std::map<InstanceName, Time> m_CheckedInAt;
 
+  /// Written by the feed controller: the other members that apply changes of
+  /// the ConfigurationExtension, as their requests to this leader show.
+  std::set<MemberId> m_ExtensionMembers;
+
   /// Written by the core: when each member last sent a message to this one.
   std::map<MemberId, Time> m_MemberHeardAt;
 
@@ -78,6 +82,10 @@
   /// Returns the member with this identifier, or null.
   const ControlMember *findMember(MemberId Id) const;
   bool isVoterAt(const Endpoint &Peer) const;
+  /// Whether every member can apply changes of the ConfigurationExtension. A
+  /// control host of an earlier version stops at an entry that it cannot
+  /// decode.
+  bool canExtendConfiguration() const;
   /// Whether every voter keeps the log on a disk. Until then a loss of power
   /// can undo what the voters agreed on.
   bool isDurable() const;
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -281,6 +281,9 @@
   void on(const DatagramReceived &Event, ControlContext &Context) {
     if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Event.m_Message))
       m_Liveness.onHeartbeat(*Beat, Context.m_Now);
+    else if (const HostCapacityReport *Report =
+                 std::get_if<HostCapacityReport>(&Event.m_Message))
+      m_Liveness.onCapacityReport(*Report, Context);
   }
   void on(const InstanceCallAnswered &Event, ControlContext &Context) {
     if (m_Board.m_IsLeader)
--- a/src/decision/control/ControlState.cpp
+++ b/src/decision/control/ControlState.cpp
@@ -46,10 +46,15 @@
   return Applied{Outcome, std::move(Received)};
 }
 
-std::string ControlState::encoded() const { return encodeValue(*this); }
+std::string ControlState::encoded() const {
+  return encodeWithTail(*this, m_Configuration.extension());
+}
 
 ControlState ControlState::decoded(std::string_view Bytes) {
-  return decodeValue<ControlState>(Bytes);
+  auto [Result, Extension] =
+      decodeWithTail<ControlState, ConfigurationExtension>(Bytes);
+  Result.m_Configuration.setExtension(std::move(Extension));
+  return std::move(Result);
 }
 
 } // namespace almondpier
--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -7,6 +7,26 @@
 
 namespace {
 
+bool requestsParts(const PollRequest &Poll) {
+  return !Poll.m_WantsLiveHosts &&
+         Poll.m_LiveHostsTerm == kRequestsSnapshotParts;
+}
+
+bool readsExtension(const PollRequest &Poll) {
+  return !Poll.m_WantsLiveHosts &&
+         Poll.m_LiveHostsVersion == kReadsConfigurationExtension;
+}
+
+/// Returns whether the sender of a poll needs a change and can decode it. Hosts
+/// that route by the list of live hosts use no capacities.
+bool isChangeFor(const PollRequest &Poll, const Change &Accepted) {
+  if (std::holds_alternative<SetHostCapacity>(Accepted.m_Body))
+    return readsExtension(Poll);
+  if (std::holds_alternative<EvacuateZone>(Accepted.m_Body))
+    return Poll.m_WantsLiveHosts || readsExtension(Poll);
+  return true;
+}
+
 /// One round serves all polls that arrived since the last one began.
 constexpr Duration kLeaderRoundInterval = std::chrono::milliseconds(20);
 constexpr Duration kFollowerRoundInterval = std::chrono::milliseconds(50);
@@ -37,6 +57,10 @@
 void FeedController::onReadIndexRequest(LinkId Link,
                                         const ReadIndexRequest &Request,
                                         Time Now) {
+  if ((Request.m_Sequence & kAppliesExtensionBit) != 0)
+    m_Board.m_ExtensionMembers.insert(Request.m_From);
+  else
+    m_Board.m_ExtensionMembers.erase(Request.m_From);
   m_Waiting.push_back(Waiter{Now, FollowerWaiter{Link, Request.m_Sequence}});
 }
 
@@ -76,7 +100,8 @@
     if (m_Board.findMember(m_Board.m_Leader) == nullptr)
       return;
     Number = ++m_LastSequence;
-    m_LeaderRequest = ReadIndexRequest{m_Board.m_Self.m_Id, Number};
+    m_LeaderRequest =
+        ReadIndexRequest{m_Board.m_Self.m_Id, Number | kAppliesExtensionBit};
   }
   m_LastRound = Context.m_Now;
   m_Batches[Number].m_Waiters = std::move(m_Waiting);
@@ -109,7 +134,7 @@
 
 void FeedController::onReadIndexReply(const ReadIndexReply &Reply,
                                       ControlContext &Context) {
-  auto Found = m_Batches.find(Reply.m_Sequence);
+  auto Found = m_Batches.find(Reply.m_Sequence & ~kAppliesExtensionBit);
   if (Found == m_Batches.end() || m_WasLeader)
     return;
   Found->second.m_Index = Reply.m_Index;
@@ -205,8 +230,8 @@
     Reply.m_ControlMembers = Members;
   if (addChanges(Poll, Reply))
     Context.m_Actions.push_back(SendMessage{Waiter.m_Link, std::move(Reply)});
-  else if (!Poll.m_WantsLiveHosts &&
-           Poll.m_LiveHostsTerm == kRequestsSnapshotParts)
+  else if (requestsParts(Poll) && (readsExtension(Poll) ||
+                                   m_Board.configuration().extension().empty()))
     offerSnapshot(Waiter, std::move(Reply), Context);
   else
     sendSnapshot(Waiter.m_Link, std::move(Reply), Context);
@@ -235,9 +260,9 @@
   if (Since == 0 || Since < m_ChangesAfter ||
       Since > m_Board.m_State.appliedIndex())
     return false;
-  bool AppliesAmendments = !Poll.m_WantsLiveHosts &&
-                           (Poll.m_LiveHostsTerm == kAppliesPolicyAmendments ||
-                            Poll.m_LiveHostsTerm == kRequestsSnapshotParts);
+  bool AppliesAmendments =
+      requestsParts(Poll) || (!Poll.m_WantsLiveHosts &&
+                              Poll.m_LiveHostsTerm == kAppliesPolicyAmendments);
   size_t Bytes = 0;
   bool NeedsWholePolicy = false;
   auto First = m_Changes.end();
@@ -252,7 +277,7 @@
         std::holds_alternative<AmendPolicy>(First->m_Change.m_Body);
     if (IsAmendment && !AppliesAmendments)
       NeedsWholePolicy = true;
-    else
+    else if (isChangeFor(Poll, First->m_Change))
       Reply.m_Changes.push_back(First->m_Change);
   }
   if (!NeedsWholePolicy)
@@ -266,7 +291,8 @@
 void FeedController::sendSnapshot(LinkId Link, PollReply Reply,
                                   ControlContext &Context) {
   if (m_Snapshot.empty() || m_SnapshotIndex != Reply.m_AppliedIndex) {
-    m_Snapshot = encode(m_Board.configuration());
+    m_Snapshot = encode(m_Board.configuration(),
+                        ConfigurationEncoding::WithoutExtension);
     m_SnapshotIndex = Reply.m_AppliedIndex;
   }
   Reply.m_SnapshotBytes = m_Snapshot.size();
--- a/src/decision/control/LivenessController.cpp
+++ b/src/decision/control/LivenessController.cpp
@@ -64,6 +64,28 @@
     m_Relays.push_back(Host);
 }
 
+void LivenessController::onCapacityReport(const HostCapacityReport &Report,
+                                          ControlContext &Context) {
+  const Configuration &InForce = m_Board.configuration();
+  if (!m_Board.m_IsLeader || !m_Board.canExtendConfiguration() ||
+      !InForce.hosts().contains(Report.m_Host))
+    return;
+  auto Known = InForce.hostCapacities().find(Report.m_Host);
+  HostCapacity Recorded =
+      Known == InForce.hostCapacities().end() ? HostCapacity() : Known->second;
+  if (Recorded == Report.m_Capacity) {
+    m_CapacityProposedAt.erase(Report.m_Host);
+    return;
+  }
+  auto [Last, IsNew] =
+      m_CapacityProposedAt.emplace(Report.m_Host, Context.m_Now);
+  if (!IsNew && Context.m_Now - Last->second < kRegistrationInterval)
+    return;
+  Last->second = Context.m_Now;
+  Context.proposeBySystem(SetHostCapacity{Report.m_Host, Report.m_Capacity},
+                          Report.m_Host.m_Value);
+}
+
 void LivenessController::onLeaderList(const LiveHosts &List) {
   bool IsNewer = List.m_Term > m_Board.m_LiveHosts.m_Term ||
                  (List.m_Term == m_Board.m_LiveHosts.m_Term &&
--- a/src/decision/control/LivenessController.h
+++ b/src/decision/control/LivenessController.h
@@ -17,6 +17,10 @@
   }
 
   void onHeartbeat(const Heartbeat &Heartbeat, Time Now);
+  /// Records the capacity of a registered host when it is new. Reports repeat,
+  /// so one that cannot be recorded yet costs an interval.
+  void onCapacityReport(const HostCapacityReport &Report,
+                        ControlContext &Context);
   /// A proxy sent its record with a poll; registers it when it is new.
   void onHostRecord(const HostRecord &Host, ControlContext &Context);
   /// The leader's list, as a follower receives it.
@@ -36,6 +40,8 @@
   Time m_CompleteAfter;
   Time m_TickedAt;
   std::map<HostName, Time> m_RegisteredAt;
+  /// When the capacity of a host was last proposed to the log.
+  std::map<HostName, Time> m_CapacityProposedAt;
   std::vector<HostRecord> m_Relays;
 };
 
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -102,13 +102,14 @@
   uint64_t Base = m_NeedsSnapshot ? 0 : m_Board.m_AppliedIndex;
   m_OutstandingPolls.push_back(Poll{++m_Sequence, Now, Base});
   m_Actions.push_back(SendMessage{
-      Link,
-      PollRequest{m_Host, m_Incarnation, m_Sequence, Base,
-                  m_WantsLiveHosts ? m_Board.m_LiveHosts.m_Term
-                                   : kRequestsSnapshotParts,
-                  m_Board.m_LiveHosts.m_Version, m_Board.m_Directory.m_Term,
-                  m_Board.m_Directory.m_Version, m_WantsLiveHosts,
-                  m_Members.empty() ? 0 : digestOf(m_Members)}});
+      Link, PollRequest{m_Host, m_Incarnation, m_Sequence, Base,
+                        m_WantsLiveHosts ? m_Board.m_LiveHosts.m_Term
+                                         : kRequestsSnapshotParts,
+                        m_WantsLiveHosts ? m_Board.m_LiveHosts.m_Version
+                                         : kReadsConfigurationExtension,
+                        m_Board.m_Directory.m_Term,
+                        m_Board.m_Directory.m_Version, m_WantsLiveHosts,
+                        m_Members.empty() ? 0 : digestOf(m_Members)}});
 }
 
 void ConfigurationController::onPollReply(LinkId Link, const PollReply &Reply,
--- a/src/decision/proxy/HeartbeatController.cpp
+++ b/src/decision/proxy/HeartbeatController.cpp
@@ -13,8 +13,14 @@
   m_LastSent = Now;
   m_WasReady = IsReady;
   Message Sent = makeHeartbeat(IsReady);
-  for (const Endpoint &Peer : ControlPeers)
+  bool ReportsCapacity =
+      m_Capacity.isKnown() && m_SentCount % kHeartbeatsPerCapacityReport == 0;
+  for (const Endpoint &Peer : ControlPeers) {
     m_Actions.push_back(SendDatagram{Peer, Sent});
+    if (ReportsCapacity)
+      m_Actions.push_back(
+          SendDatagram{Peer, HostCapacityReport{m_Host, m_Capacity}});
+  }
   ++m_SentCount;
 }
 
--- a/src/decision/proxy/HeartbeatController.h
+++ b/src/decision/proxy/HeartbeatController.h
@@ -7,12 +7,16 @@
 namespace almondpier {
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(250);
+/// The capacity changes only with the settings, so it is reported with one
+/// heartbeat in four.
+constexpr uint64_t kHeartbeatsPerCapacityReport = 4;
 
 class HeartbeatController {
 public:
-  HeartbeatController(const HostName &Host, const ProxyBlackboard &Board,
-                      ProxyActions &Actions)
-      : m_Host(Host), m_Board(Board), m_Actions(Actions) {}
+  HeartbeatController(const HostName &Host, const HostCapacity &Capacity,
+                      const ProxyBlackboard &Board, ProxyActions &Actions)
+      : m_Host(Host), m_Capacity(Capacity), m_Board(Board), m_Actions(Actions) {
+  }
 
   /// Sends a heartbeat when one is due or when the readiness changed.
   void tick(const std::vector<Endpoint> &ControlPeers, bool IsReady, Time Now);
@@ -22,6 +26,7 @@
   Heartbeat makeHeartbeat(bool IsReady);
 
   HostName m_Host;
+  HostCapacity m_Capacity;
   const ProxyBlackboard &m_Board;
   ProxyActions &m_Actions;
   std::optional<Time> m_LastSent;
--- a/src/decision/proxy/ProxyCore.cpp
+++ b/src/decision/proxy/ProxyCore.cpp
@@ -36,7 +36,8 @@
   State(const ProxyOptions &Options, Time Now)
       : m_Options(Options),
         m_Configuration(Options, m_Board, m_Links, m_Actions),
-        m_Heartbeat(Options.m_Host.m_Name, m_Board, m_Actions),
+        m_Heartbeat(Options.m_Host.m_Name, Options.m_Capacity, m_Board,
+                    m_Actions),
         m_Ownership(Options.m_Host.m_Name, m_Board),
         m_Owner(OwnerOptions{Options.m_Host.m_Name, Options.m_Host.m_Zone,
                              Options.m_Incarnation},
--- a/src/decision/proxy/ProxyCore.h
+++ b/src/decision/proxy/ProxyCore.h
@@ -11,6 +11,8 @@
 
 struct ProxyOptions {
   HostRecord m_Host;
+  /// What the host can carry; unknown for hosts that publish nothing.
+  HostCapacity m_Capacity;
   /// Rises with each start of the process.
   uint64_t m_Incarnation = 0;
   std::string m_FleetSecret;
--- a/src/decision/proxy/ProxyEvents.h
+++ b/src/decision/proxy/ProxyEvents.h
@@ -197,6 +197,15 @@
   /// Written by GroupOwners: the groups whose statements other hosts forward to
   /// this one.
   std::set<DatabaseName> m_OwnedGroups;
+  /// Written by GroupOwners: the zones whose instances of a group are used
+  /// mostly by this host. An empty zone stands for all zones.
+  std::set<std::pair<DatabaseName, AvailabilityZone>> m_OwnedZones;
+
+  /// Returns whether this host uses the instance more than any other host does.
+  bool isMainUserOf(const InstanceDescription &Instance) const {
+    return m_OwnedZones.contains({Instance.m_Database, Instance.m_Zone}) ||
+           m_OwnedZones.contains({Instance.m_Database, AvailabilityZone()});
+  }
 
   /// Written by the group controllers: reports for the next heartbeat.
   std::vector<InstanceReport> m_Reports;
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -27,7 +27,8 @@
   State(const ProxyOptions &Options, const SessionLimits &Limits, Time Now)
       : m_Options(sessionOptions(Options)),
         m_Configuration(m_Options, m_Board, m_Links, m_ControlActions),
-        m_Heartbeat(Options.m_Host.m_Name, m_Board, m_ControlActions),
+        m_Heartbeat(Options.m_Host.m_Name, Options.m_Capacity, m_Board,
+                    m_ControlActions),
         m_Tokens(Options.m_Host.m_Name, m_Links, m_ControlActions, &m_Board),
         m_Owners(Options.m_Host.m_Name, m_Board, m_Links),
         m_Sessions(Limits, m_Board, m_Tokens, m_Actions, m_Owners, m_Forwarder,
--- a/src/messages/Codec.h
+++ b/src/messages/Codec.h
@@ -148,4 +148,28 @@
   return Target;
 }
 
+/// Encodes Source, followed by Tail unless that is empty.
+template <typename Value, typename TailValue>
+std::string encodeWithTail(const Value &Source, const TailValue &Tail) {
+  std::string Bytes = encodeValue(Source);
+  return Tail.empty() ? Bytes : Bytes + encodeValue(Tail);
+}
+
+/// Decodes what encodeWithTail() wrote. Throws DecodeError.
+template <typename Value, typename TailValue>
+std::pair<Value, TailValue> decodeWithTail(std::string_view Bytes) {
+  BoundedInputArchive Archive(Bytes);
+  std::pair<Value, TailValue> Result;
+  try {
+    Archive(Result.first);
+    if (Archive.remaining() != 0)
+      Archive(Result.second);
+  } catch (const cereal::Exception &Failure) {
+    throw DecodeError(Failure.what());
+  }
+  if (Archive.remaining() != 0)
+    throw DecodeError("bytes follow the end of the message");
+  return Result;
+}
+
 } // namespace almondpier
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -34,12 +34,18 @@
   return decodeValue<Change>(Bytes);
 }
 
-std::string encode(const Configuration &Configuration) {
-  return encodeValue(Configuration);
+std::string encode(const Configuration &Configuration,
+                   ConfigurationEncoding Encoding) {
+  if (Encoding == ConfigurationEncoding::WithoutExtension)
+    return encodeValue(Configuration);
+  return encodeWithTail(Configuration, Configuration.extension());
 }
 
 Configuration decodeConfiguration(std::string_view Bytes) {
-  return decodeValue<Configuration>(Bytes);
+  auto [Result, Extension] =
+      decodeWithTail<Configuration, ConfigurationExtension>(Bytes);
+  Result.setExtension(std::move(Extension));
+  return std::move(Result);
 }
 
 } // namespace almondpier
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -133,6 +133,7 @@
   void operator()(const RemoveHost &Body) {
     if (m_Target.m_Hosts.erase(Body.m_Host) == 0)
       throw Error(ErrorKind::NotFound, "no host '" + Body.m_Host.m_Value + "'");
+    m_Target.m_Extension.m_HostCapacities.erase(Body.m_Host);
   }
 
   void operator()(const RecordMembership & /*Body*/) {}
@@ -219,6 +220,26 @@
     (*this)(InstallPolicy{applyAmendment(m_Target.m_Policy, Body), ""});
   }
 
+  void operator()(const SetHostCapacity &Body) {
+    if (!m_Target.m_Hosts.contains(Body.m_Host))
+      throw Error(ErrorKind::NotFound, "no host '" + Body.m_Host.m_Value + "'");
+    if (Body.m_Capacity.isKnown())
+      m_Target.m_Extension.m_HostCapacities[Body.m_Host] = Body.m_Capacity;
+    else
+      m_Target.m_Extension.m_HostCapacities.erase(Body.m_Host);
+  }
+
+  void operator()(const EvacuateZone &Body) {
+    if (!Body.m_IsEvacuated) {
+      m_Target.m_Extension.m_EvacuatedZones.erase(Body.m_Zone);
+      return;
+    }
+    if (Body.m_Zone.empty() || Body.m_Zone.m_Value.size() > kMaxNameBytes)
+      throw Error(ErrorKind::BadRequest,
+                  "the name of a zone has 1 to 64 characters");
+    m_Target.m_Extension.m_EvacuatedZones.insert(Body.m_Zone);
+  }
+
 private:
   /// The limit of the document holds in every preset.
   void installOrganisation(const OrganisationName &Name,
@@ -308,6 +329,8 @@
          !std::holds_alternative<InstallPolicy>(Body) &&
          !std::holds_alternative<AmendPolicy>(Body) &&
          !std::holds_alternative<RecordDirectory>(Body) &&
+         !std::holds_alternative<SetHostCapacity>(Body) &&
+         !std::holds_alternative<EvacuateZone>(Body) &&
          !std::holds_alternative<RecordMembership>(Body);
 }
 
@@ -379,6 +402,17 @@
   std::string operator()(const RecordDirectory &Body) const {
     return "record " + std::to_string(Body.m_Instances.size()) + " instances";
   }
+  std::string operator()(const SetHostCapacity &Body) const {
+    return "set the capacity of host " + Body.m_Host.m_Value + " to " +
+           std::to_string(Body.m_Capacity.m_LinkKbitPerSecond) +
+           " kbit/s and " +
+           std::to_string(Body.m_Capacity.m_ProcessorPermille) +
+           " thousandths of a core";
+  }
+  std::string operator()(const EvacuateZone &Body) const {
+    return std::string(Body.m_IsEvacuated ? "evacuate" : "restore") + " zone " +
+           Body.m_Zone.m_Value;
+  }
 };
 
 } // namespace
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -15,9 +15,7 @@
 SessionServer<Format>::SessionServer(EventLoop &Loop,
                                      const SessionServerSettings &Settings)
     : m_Loop(Loop), m_Settings(Settings),
-      m_Core(makeProxyOptions(Settings.m_Host, Settings.m_FleetSecret,
-                              Settings.m_Control),
-             Settings.m_Limits, Loop.now()),
+      m_Core(makeOptions(Settings), Settings.m_Limits, Loop.now()),
       m_Links(
           Loop, FleetSecret{Settings.m_FleetSecret},
           Settings.m_Host.m_ForwardEndpoint,
@@ -36,6 +34,15 @@
                                formatEndpoint(Settings.m_Health));
 }
 
+template <LineFormat Format>
+ProxyOptions
+SessionServer<Format>::makeOptions(const SessionServerSettings &Settings) {
+  ProxyOptions Options = makeProxyOptions(
+      Settings.m_Host, Settings.m_FleetSecret, Settings.m_Control);
+  Options.m_Capacity = Settings.m_Capacity;
+  return Options;
+}
+
 template <LineFormat Format>
 void SessionServer<Format>::accept(std::unique_ptr<LineStream> Stream) {
   SessionId Id{++m_LastSession};
--- a/tests/control/Simulation.h
+++ b/tests/control/Simulation.h
@@ -333,10 +333,12 @@
   }
   /// Polls as a session proxy, which applies amendments of the policy.
   void pollForAmendments(size_t Index, const HostName &Host, uint64_t Applied,
-                         uint64_t Capability = kAppliesPolicyAmendments) {
+                         uint64_t Capability = kAppliesPolicyAmendments,
+                         uint64_t Extension = 0) {
     PollRequest Poll{m_Hosts[Host].m_Record, 1, ++m_PollSequence, Applied};
     Poll.m_WantsLiveHosts = false;
     Poll.m_LiveHostsTerm = Capability;
+    Poll.m_LiveHostsVersion = Extension;
     handle(Index, MessageReceived{kProxyLink, Poll});
   }
   /// Returns the answer to the last poll, or null.
--- a/tests/proxy/HeartbeatTest.cpp
+++ b/tests/proxy/HeartbeatTest.cpp
@@ -17,7 +17,7 @@
     Board.m_Reports.push_back(Report);
   }
   ProxyActions Actions;
-  HeartbeatController Heartbeats(HostName{std::string(kMaxNameBytes, 'h')},
+  HeartbeatController Heartbeats(HostName{std::string(kMaxNameBytes, 'h')}, {},
                                  Board, Actions);
   Time Now{std::chrono::seconds(1)};
   std::set<uint64_t> Named;
@@ -41,7 +41,7 @@
           "every 250 ms") {
   ProxyBlackboard Board;
   ProxyActions Actions;
-  HeartbeatController Heartbeats(HostName{"host"}, Board, Actions);
+  HeartbeatController Heartbeats(HostName{"host"}, {}, Board, Actions);
   Time Now{std::chrono::seconds(1)};
   Heartbeats.tick({Endpoint{"10.0.0.1", 1}}, true, Now);
   Heartbeats.tick({Endpoint{"10.0.0.1", 1}}, true, Now + milliseconds(5));
