Choose owners of groups in each zone by what hosts can carry

Cause: a statement passes the link of its owner twice in each direction, and most groups were owned by hosts with 2 Mbit/s. Where hosts publish a capacity, each group has an owner in each zone: reads go to the owner in the caller's zone, other statements to the owner in the primary's zone. In each zone groups go to the hosts that use the smallest part of what they can carry. Without capacities nothing changes. Failed try: a position of the primary was renewed only when the last one was too old, so that all reads of the moment went to the primary; one read now renews it at half of the accepted age (read from the source, not measured apart).

--- a/src/decision/HostRanking.cpp
+++ b/src/decision/HostRanking.cpp
@@ -21,6 +21,10 @@
   return Value ^ (Value >> 31U);
 }
 
+uint64_t rendezvousHash(const DatabaseName &Database, const HostName &Host) {
+  return mix(mix(hashOf(Database.m_Value)) + hashOf(Host.m_Value));
+}
+
 std::vector<RankedHost> candidateHosts(const Configuration &Configuration,
                                        const LiveHosts &Live) {
   std::vector<RankedHost> Candidates;
@@ -68,12 +72,10 @@
 std::vector<HostName> rankHosts(const DatabaseName &Database,
                                 const std::vector<RankedHost> &Hosts,
                                 size_t Count) {
-  uint64_t DatabaseHash = mix(hashOf(Database.m_Value));
   std::vector<Score> Scores;
   Scores.reserve(Hosts.size());
   for (const RankedHost &Host : Hosts)
-    Scores.push_back(
-        Score{mix(DatabaseHash + hashOf(Host.m_Name.m_Value)), &Host});
+    Scores.push_back(Score{rendezvousHash(Database, Host.m_Name), &Host});
   Count = std::min(Count, Scores.size());
   size_t Observers = std::min(kObserverCount, Count);
   for (size_t Chosen = 0; Chosen < Observers; ++Chosen)
--- a/src/decision/HostRanking.h
+++ b/src/decision/HostRanking.h
@@ -19,6 +19,10 @@
   friend auto operator<=>(const RankedHost &, const RankedHost &) = default;
 };
 
+/// Returns the hash by which hosts are ranked for a database: uniformly
+/// distributed, and the same on every host.
+uint64_t rendezvousHash(const DatabaseName &Database, const HostName &Host);
+
 /// Returns the hosts that can own and observe databases: live, ready and
 /// registered.
 std::vector<RankedHost> candidateHosts(const Configuration &Configuration,
--- a/src/decision/session/GroupOwners.cpp
+++ b/src/decision/session/GroupOwners.cpp
@@ -42,63 +42,154 @@
   return Result;
 }
 
-void GroupOwners::onConfigurationChanged(Time Now) {
-  const std::map<HostName, HostRecord> &Hosts = m_Board.m_Configuration.hosts();
-  if (Hosts != m_RankedHosts) {
-    m_RankedHosts = Hosts;
-    for (auto &[Database, Group] : m_Groups)
-      Group.m_Candidates.clear();
+void GroupOwners::rankAll() {
+  std::vector<PlacementHost> Hosts;
+  for (const auto &[Name, Record] : m_RankedHosts) {
+    auto Capacity = m_RankedCapacities.find(Name);
+    Hosts.push_back(PlacementHost{Name, Record.m_Zone,
+                                  Capacity == m_RankedCapacities.end()
+                                      ? HostCapacity()
+                                      : Capacity->second});
   }
-  const FleetPolicy &Policy = m_Board.m_Configuration.policy();
+  std::map<DatabaseName, ZoneCandidates> Placed;
+  if (!m_RankedCapacities.empty())
+    Placed = placeOwners(m_RankedGroups, Hosts);
+  for (auto &[Database, Group] : m_Groups) {
+    Group.m_Candidates.clear();
+    Group.m_ZoneCandidates.clear();
+    auto Found = Placed.find(Database);
+    if (Found == Placed.end()) {
+      Group.m_Candidates = rank(Database);
+      continue;
+    }
+    for (const auto &[Zone, Names] : Found->second)
+      for (const HostName &Name : Names)
+        Group.m_ZoneCandidates[Zone].push_back(
+            Owner{Name, m_RankedHosts.at(Name).m_ForwardEndpoint});
+  }
+}
+
+void GroupOwners::updateInstanceZones() {
+  for (auto &[Database, Group] : m_Groups)
+    Group.m_InstanceZones.clear();
+  for (const InstanceDescription &Instance : m_Board.m_Directory.m_Instances) {
+    auto Group = m_Groups.find(Instance.m_Database);
+    if (Group == m_Groups.end() || Instance.m_State != InstanceState::Ready ||
+        m_Board.m_Configuration.isEvacuated(Instance.m_Zone))
+      continue;
+    std::vector<AvailabilityZone> &Zones = Group->second.m_InstanceZones;
+    auto Position =
+        std::lower_bound(Zones.begin(), Zones.end(), Instance.m_Zone);
+    if (Position == Zones.end() || *Position != Instance.m_Zone)
+      Zones.insert(Position, Instance.m_Zone);
+  }
+}
+
+void GroupOwners::onConfigurationChanged(Time Now) {
+  const Configuration &InForce = m_Board.m_Configuration;
+  const FleetPolicy &Policy = InForce.policy();
+  std::vector<DatabaseName> Groups;
+  for (const auto &[Database, GroupPolicy] : Policy.m_Groups)
+    Groups.push_back(Database);
   std::erase_if(m_Groups, [&](const auto &Entry) {
     return !Policy.m_Groups.contains(Entry.first);
   });
-  for (const auto &[Database, GroupPolicy] : Policy.m_Groups)
+  for (const DatabaseName &Database : Groups)
     m_Groups.try_emplace(Database);
+  if (InForce.hosts() != m_RankedHosts ||
+      InForce.hostCapacities() != m_RankedCapacities ||
+      Groups != m_RankedGroups) {
+    m_RankedHosts = InForce.hosts();
+    m_RankedCapacities = InForce.hostCapacities();
+    m_RankedGroups = std::move(Groups);
+    rankAll();
+    releaseUnusedLinks();
+  }
+  updateInstanceZones();
+  m_OwnedUpdatedAt = Time();
+  tick(Now);
+}
+
+void GroupOwners::releaseUnusedLinks() {
   std::set<Endpoint> Used;
-  for (const auto &[Database, Group] : m_Groups)
-    for (const Owner &Candidate : candidatesOf(Database))
+  for (const auto &[Database, Group] : m_Groups) {
+    for (const Owner &Candidate : Group.m_Candidates)
       Used.insert(Candidate.m_Endpoint);
+    for (const auto &[Zone, Candidates] : Group.m_ZoneCandidates)
+      for (const Owner &Candidate : Candidates)
+        Used.insert(Candidate.m_Endpoint);
+  }
   m_Links.retainOnly(Used, LinkUse::Forward);
   std::erase_if(m_Peers,
                 [&](const auto &Entry) { return !Used.contains(Entry.first); });
-  m_OwnedUpdatedAt = Time();
-  tick(Now);
 }
 
-const std::vector<GroupOwners::Owner> &
-GroupOwners::candidatesOf(const DatabaseName &Database) {
-  Group &Group = m_Groups[Database];
-  if (Group.m_Candidates.empty())
-    Group.m_Candidates = rank(Database);
-  return Group.m_Candidates;
+AvailabilityZone GroupOwners::readZoneOf(const DatabaseName &Database,
+                                         const Group &Group) const {
+  const std::vector<AvailabilityZone> &Zones = Group.m_InstanceZones;
+  if (Zones.empty() ||
+      std::binary_search(Zones.begin(), Zones.end(), m_Board.m_Zone))
+    return m_Board.m_Zone;
+  // The hosts of a zone without an instance of the group use one owner.
+  uint64_t Hash = rendezvousHash(Database, HostName{m_Board.m_Zone.m_Value});
+  return Zones[Hash % Zones.size()];
+}
+
+std::vector<const GroupOwners::Owner *>
+GroupOwners::candidatesOf(const DatabaseName &Database,
+                          const OwnerQuery &Query) const {
+  std::vector<const Owner *> Result;
+  auto Found = m_Groups.find(Database);
+  if (Found == m_Groups.end())
+    return Result;
+  const Group &Group = Found->second;
+  for (const Owner &Candidate : Group.m_Candidates)
+    Result.push_back(&Candidate);
+  if (Group.m_ZoneCandidates.empty())
+    return Result;
+  AvailabilityZone Preferred =
+      Query.m_NeedsPrimary ? Query.m_PrimaryZone : readZoneOf(Database, Group);
+  auto Add = [&](const AvailabilityZone &Zone, size_t Count) {
+    auto Candidates = Group.m_ZoneCandidates.find(Zone);
+    if (Candidates == Group.m_ZoneCandidates.end())
+      return;
+    for (const Owner &Candidate : Candidates->second)
+      if (Count-- > 0)
+        Result.push_back(&Candidate);
+  };
+  Add(Preferred, kOwnerCandidates);
+  if (Preferred != m_Board.m_Zone)
+    Add(m_Board.m_Zone, kOwnerCandidates);
+  for (const AvailabilityZone &Zone : Group.m_InstanceZones)
+    if (Zone != Preferred && Zone != m_Board.m_Zone)
+      Add(Zone, 1);
+  return Result;
 }
 
 StatementRoute GroupOwners::route(const DatabaseName &Database,
-                                  bool NeedsPrimary,
+                                  const OwnerQuery &Query,
                                   const std::set<HostName> &Avoided, Time Now) {
-  const std::vector<Owner> &Candidates = candidatesOf(Database);
   const std::map<HostName, Time> &AvoidedUntil =
-      m_Groups.at(Database).m_AvoidedUntil;
+      m_Groups[Database].m_AvoidedUntil;
   const Owner *OnProbation = nullptr;
-  for (const Owner &Candidate : Candidates) {
-    auto Until = AvoidedUntil.find(Candidate.m_Name);
-    bool IsCutOff =
-        NeedsPrimary && Until != AvoidedUntil.end() && Now < Until->second;
-    if (IsCutOff || Avoided.contains(Candidate.m_Name))
+  for (const Owner *Candidate : candidatesOf(Database, Query)) {
+    auto Until = AvoidedUntil.find(Candidate->m_Name);
+    bool IsCutOff = Query.m_NeedsPrimary && Until != AvoidedUntil.end() &&
+                    Now < Until->second;
+    if (IsCutOff || Avoided.contains(Candidate->m_Name))
       continue;
-    if (Candidate.m_Name == m_Host) {
+    if (Candidate->m_Name == m_Host) {
       onStatementServed(Database, Now);
       return StatementRoute{};
     }
-    switch (stateOf(Candidate, Now)) {
+    switch (stateOf(*Candidate, Now)) {
     case PeerState::Accepting:
-      return forwardTo(Candidate);
+      return forwardTo(*Candidate);
     case PeerState::Connecting:
-      return StatementRoute{StatementRoute::Kind::Wait, {}, Candidate.m_Name};
+      return StatementRoute{StatementRoute::Kind::Wait, {}, Candidate->m_Name};
     case PeerState::OnProbation:
       if (OnProbation == nullptr)
-        OnProbation = &Candidate;
+        OnProbation = Candidate;
       break;
     case PeerState::Unavailable:
       break;
@@ -163,8 +254,31 @@
 }
 
 void GroupOwners::onStatementServed(const DatabaseName &Database, Time Now) {
-  m_Groups[Database].m_LastServedAt = Now;
-  m_Board.m_OwnedGroups.insert(Database);
+  Group &Served = m_Groups[Database];
+  Served.m_LastServedAt = Now;
+  markOwned(Database, Served, true);
+}
+
+void GroupOwners::markOwned(const DatabaseName &Database, const Group &Group,
+                            bool HasServed) {
+  auto IsChosen = [&](const std::vector<Owner> &Candidates) {
+    auto Found = std::find_if(
+        Candidates.begin(), Candidates.end(),
+        [&](const Owner &Candidate) { return Candidate.m_Name == m_Host; });
+    return Found != Candidates.end() &&
+           (HasServed || Found == Candidates.begin());
+  };
+  bool IsOwner = HasServed || IsChosen(Group.m_Candidates);
+  if (IsOwner && Group.m_ZoneCandidates.empty())
+    m_Board.m_OwnedZones.emplace(Database, AvailabilityZone());
+  for (const auto &[Zone, Candidates] : Group.m_ZoneCandidates) {
+    if (!IsChosen(Candidates))
+      continue;
+    IsOwner = true;
+    m_Board.m_OwnedZones.emplace(Database, Zone);
+  }
+  if (IsOwner)
+    m_Board.m_OwnedGroups.insert(Database);
 }
 
 void GroupOwners::tick(Time Now) {
@@ -172,14 +286,11 @@
     return;
   m_OwnedUpdatedAt = Now;
   m_Board.m_OwnedGroups.clear();
-  for (const auto &[Database, Group] : m_Groups) {
-    bool IsFirst = !Group.m_Candidates.empty() &&
-                   Group.m_Candidates.front().m_Name == m_Host;
-    bool HasServed =
-        Group.m_LastServedAt && Now - *Group.m_LastServedAt < kServedRetention;
-    if (IsFirst || HasServed)
-      m_Board.m_OwnedGroups.insert(Database);
-  }
+  m_Board.m_OwnedZones.clear();
+  for (const auto &[Database, Group] : m_Groups)
+    markOwned(Database, Group,
+              Group.m_LastServedAt &&
+                  Now - *Group.m_LastServedAt < kServedRetention);
 }
 
 } // namespace almondpier
--- a/src/decision/session/GroupTracker.cpp
+++ b/src/decision/session/GroupTracker.cpp
@@ -28,6 +28,8 @@
 /// A route with a larger bound uses a newer sample than its bound requires.
 constexpr Duration kSampleRetention = milliseconds(6'000);
 constexpr Duration kMinSampleInterval = milliseconds(50);
+/// Time in which a requested sample usually arrives.
+constexpr Duration kSampleRequestInterval = milliseconds(200);
 constexpr double kLatencySmoothingFactor = 0.1;
 /// The backoff of an overloaded instance starts at the duration of a short
 /// statement and is limited to about the time in which the instance works off
@@ -107,6 +109,14 @@
   return Found == Samples.end() ? nullptr : &*Found;
 }
 
+bool GroupTracker::isSampleDue(const DatabaseName &Database, Duration MaxAge,
+                               Time Now) const {
+  auto Found = m_Groups.find(Database);
+  return Found != m_Groups.end() && !Found->second.m_Samples.empty() &&
+         Now - Found->second.m_Samples.back().m_TakenAt >= MaxAge &&
+         Now - Found->second.m_SampleRequestedAt >= kSampleRequestInterval;
+}
+
 void GroupTracker::onLeadershipConfirmed(
     const InstanceDescription &Instance,
     const std::optional<Position> &Reported, Time SentAt, Time Now) {
--- a/src/decision/session/GroupTracker.h
+++ b/src/decision/session/GroupTracker.h
@@ -71,6 +71,15 @@
   const PrimarySample *oldestSampleSince(const DatabaseName &Database,
                                          Time NotBefore) const;
 
+  /// Returns whether the newest sample of the group has reached MaxAge and
+  /// none was requested a short time ago.
+  bool isSampleDue(const DatabaseName &Database, Duration MaxAge,
+                   Time Now) const;
+  /// A statement that yields a sample is about to be sent.
+  void onSampleRequested(const DatabaseName &Database, Time Now) {
+    m_Groups[Database].m_SampleRequestedAt = Now;
+  }
+
   /// The reply to a statement sent at SentAt confirmed that the instance is the
   /// primary.
   void onLeadershipConfirmed(const InstanceDescription &Instance,
@@ -106,6 +115,7 @@
     std::optional<InstanceName> m_Primary;
     /// In the order of their time; positions never decrease.
     std::deque<PrimarySample> m_Samples;
+    Time m_SampleRequestedAt;
   };
 
   const ProxyBlackboard &m_Board;
--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -13,6 +13,9 @@
 /// An instance keeps the connections of a host that froze or lost power for
 /// seconds.
 constexpr size_t kSuccessorConnectionsDivisor = 2;
+/// Part of the connections that an owner may hold to an instance that another
+/// owner uses most. Owners are at most as many as zones.
+constexpr size_t kOtherOwnersDivisor = 8;
 /// While an instance rejects connections as too many, this host opens none for
 /// this time. Hosts that no longer need theirs close them sooner.
 constexpr Duration kOverLimitPause = std::chrono::milliseconds(500);
@@ -22,17 +25,19 @@
 
 } // namespace
 
-size_t
-InstanceConnectionPool::connectionLimit(const DatabaseName &Database) const {
+size_t InstanceConnectionPool::connectionLimit(
+    const InstanceDescription &Instance) const {
   const std::map<DatabaseName, GroupPolicy> &Groups =
       m_Board.m_Configuration.policy().m_Groups;
-  auto Group = Groups.find(Database);
+  auto Group = Groups.find(Instance.m_Database);
   size_t Limit = Group == Groups.end() ? GroupPolicy().m_ConnectionLimit
                                        : Group->second.m_ConnectionLimit;
   size_t Usable =
       Limit > kReservedConnections ? Limit - kReservedConnections : Limit;
-  if (m_Board.m_OwnedGroups.contains(Database))
+  if (m_Board.isMainUserOf(Instance))
     return std::max<size_t>(1, Usable - Usable / kSuccessorConnectionsDivisor);
+  if (m_Board.m_OwnedGroups.contains(Instance.m_Database))
+    return std::max<size_t>(1, Usable / kOtherOwnersDivisor);
   // A new control leader knows few live hosts at first, whereas the registered
   // hosts are part of the replicated configuration. The larger number prevents
   // a host from exceeding its share.
@@ -68,7 +73,7 @@
 
 size_t InstanceConnectionPool::openLimit(const InstanceDescription &Instance,
                                          Time Now) const {
-  size_t Limit = connectionLimit(Instance.m_Database);
+  size_t Limit = connectionLimit(Instance);
   auto Learned = m_LearnedLimits.find(Instance.m_Name);
   if (Learned == m_LearnedLimits.end() || Now >= Learned->second.m_Until)
     return Limit;
@@ -192,7 +197,7 @@
   // from a time in which it reached none.
   if (!m_Board.m_OwnedGroups.contains(Entry->m_Database))
     return Open;
-  size_t Share = connectionLimit(Entry->m_Database);
+  size_t Share = connectionLimit(*Entry);
   return Open > Share ? Open - Share : 0;
 }
 
--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -88,10 +88,10 @@
   /// draining, those of groups that another host owns, and those above the
   /// connection limit of this host.
   void closeExcess(Time Now);
-  /// Returns how many connections this host may hold to each instance of a
-  /// group. With more hosts than connections, instances reject some of those
-  /// that hosts open while they reach no owner.
-  size_t connectionLimit(const DatabaseName &Database) const;
+  /// Returns how many connections this host may hold to the instance. With more
+  /// hosts than connections, instances reject some of those that hosts open
+  /// while they reach no owner.
+  size_t connectionLimit(const InstanceDescription &Instance) const;
   size_t busyCount(const InstanceName &Instance) const;
   size_t count() const { return m_Connections.size(); }
   uint64_t openedCount() const { return m_LastId; }
--- a/src/decision/session/InstanceSelector.cpp
+++ b/src/decision/session/InstanceSelector.cpp
@@ -11,6 +11,12 @@
 /// Statements that the owner of a group runs at an instance beyond its slots,
 /// so that a slot never waits for the round trip between them.
 constexpr double kExtraStatements = 2;
+/// An owner runs this fraction of that at instances that another owner uses
+/// most.
+constexpr double kOtherOwnersDivisor = 2;
+/// A position of the primary is renewed when it has reached this fraction of
+/// the age that reads accept.
+constexpr int kSampleRefreshDivisor = 2;
 /// Opening a connection in place of another one costs the instance about as
 /// much as a statement, and again when the closed one is needed later. A
 /// connection that replaces none is cheaper because it can be reused.
@@ -50,6 +56,21 @@
       std::max(Sample->m_Position, Session.m_LastCommit)};
 }
 
+void InstanceSelector::refreshSample(CallerSession &Session, Time Now) {
+  PendingStatement &Pending = *Session.m_Pending;
+  const DatabaseName &Database = Session.m_Policy.m_Database;
+  Duration MaxAge = milliseconds(Session.m_Policy.m_MaxReadAgeMs);
+  if (Pending.m_Target != StatementTarget::CaughtUp ||
+      !Pending.m_IsAutocommit || MaxAge == Duration::zero() ||
+      !m_Tracker.isSampleDue(Database, MaxAge / kSampleRefreshDivisor, Now))
+    return;
+  const InstanceDescription *Primary = m_Tracker.primaryOf(Database, Now);
+  if (Primary == nullptr || !hasCapacity(Session, *Primary, Now))
+    return;
+  m_Tracker.onSampleRequested(Database, Now);
+  Pending.m_Target = StatementTarget::ConfirmedPrimary;
+}
+
 bool InstanceSelector::hasCapacity(const CallerSession &Session,
                                    const InstanceDescription &Instance,
                                    Time Now) {
@@ -59,8 +80,12 @@
   double Allowed = Health.m_UnreachableSince ? 1 : Health.m_ConcurrencyLimit;
   // Statements beyond the slots wait here, where the best instance and the
   // remaining time are known, and not at the instance.
-  if (m_Board.m_OwnedGroups.contains(Instance.m_Database))
-    Allowed = std::min(Allowed, Instance.m_Slots + kExtraStatements);
+  if (m_Board.m_OwnedGroups.contains(Instance.m_Database)) {
+    double Owned = Instance.m_Slots + kExtraStatements;
+    Allowed = std::min(Allowed, m_Board.isMainUserOf(Instance)
+                                    ? Owned
+                                    : Owned / kOtherOwnersDivisor);
+  }
   bool IsSilent =
       !Health.m_UnreachableSince && m_Tracker.isLost(Instance.m_Name, Now);
   return !IsSilent && Now >= Health.m_BackoffUntil &&
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -116,6 +116,7 @@
     return false;
   if (std::optional<bool> IsForwarded = forward(Session, Now))
     return *IsForwarded;
+  m_Selector.refreshSample(Session, Now);
   InstanceRequirement Requirement = m_Selector.requirementOf(Session);
   std::pair Group(Session.m_Policy.m_Database, Requirement.m_Target);
   if (m_FullGroups.contains(Group))
@@ -153,13 +154,16 @@
   if (Session.m_Origin || !StatementForwarder::canForward(Session))
     return std::nullopt;
   PendingStatement &Pending = *Session.m_Pending;
+  const DatabaseName &Database = Session.m_Policy.m_Database;
+  OwnerQuery Query{Pending.m_Target != StatementTarget::CaughtUp, {}};
+  const InstanceDescription *Primary =
+      Query.m_NeedsPrimary ? m_Tracker.primaryOf(Database, Now) : nullptr;
+  if (Primary != nullptr)
+    Query.m_PrimaryZone = Primary->m_Zone;
   StatementRoute Route =
-      m_Owners.route(Session.m_Policy.m_Database,
-                     Pending.m_Target != StatementTarget::CaughtUp,
-                     Pending.m_TriedOwners, Now);
+      m_Owners.route(Database, Query, Pending.m_TriedOwners, Now);
   if (Route.m_Kind == StatementRoute::Kind::Local) {
-    m_RunWithoutOwner +=
-        m_Board.m_OwnedGroups.contains(Session.m_Policy.m_Database) ? 0 : 1;
+    m_RunWithoutOwner += m_Board.m_OwnedGroups.contains(Database) ? 0 : 1;
     return std::nullopt;
   }
   if (Route.m_Kind == StatementRoute::Kind::Wait)
--- a/tests/session/FleetLoadTest.cpp
+++ b/tests/session/FleetLoadTest.cpp
@@ -42,8 +42,12 @@
       Idle.pop_back();
       SentAt[Id] = Fleet.m_Now;
       ++Result.m_Sent;
-      Fleet.send(Id, Random() % 2 == 0 ? StatementKind::Write
-                                       : StatementKind::Read);
+      std::string Body;
+      if (Shape.m_MaxBodyBytes > 0)
+        Body.assign(100 + Random() % (Shape.m_MaxBodyBytes - 100), 'b');
+      Fleet.send(Id,
+                 Random() % 2 == 0 ? StatementKind::Write : StatementKind::Read,
+                 Body);
     }
     Fleet.run(milliseconds(1));
     for (auto Entry = SentAt.begin(); Entry != SentAt.end();) {
@@ -111,3 +115,25 @@
   // One new connection for 20 statements.
   CHECK(Result.m_Opened * 20 <= Result.m_Sent);
 }
+
+TEST_CASE("session load: eight groups, links that differ by a factor of 50, "
+          "bodies of 100 to 4,000 bytes") {
+  // Each statement passes the link of its owner twice in each direction. When
+  // owners were chosen by names alone, most groups were owned by hosts with
+  // links of 2 Mbit/s, whose queues stood for longer than callers wait.
+  FleetShape Shape;
+  Shape.m_Hosts = 85;
+  Shape.m_Groups = 8;
+  Shape.m_Organisations = 82;
+  Shape.m_Slots = 4;
+  Shape.m_ConnectionLimit = 56;
+  Shape.m_Work = milliseconds(10);
+  Shape.m_HostCapacity = NodeCapacity{250, 0.12};
+  Shape.m_WideHosts = 6;
+  Shape.m_MaxBodyBytes = 4'000;
+  LoadResult ByName = runSteadyLoad(Shape, 700, std::chrono::seconds(3));
+  Shape.m_PublishesCapacity = true;
+  LoadResult ByCapacity = runSteadyLoad(Shape, 700, std::chrono::seconds(3));
+  checkServed(ByCapacity);
+  CHECK(ByName.m_ServedInTime * 100 < ByName.m_Sent * 97);
+}
--- a/tests/session/NetworkModel.h
+++ b/tests/session/NetworkModel.h
@@ -28,15 +28,24 @@
 
   /// Returns when the receiver's link has delivered a message sent now.
   Time deliver(size_t From, size_t To, size_t Bytes, Duration Hop, Time Now) {
+    return receive(To, Bytes, send(From, Bytes, Now) + Hop);
+  }
+  /// Returns when a message has left the link of its sender.
+  Time send(size_t From, size_t Bytes, Time Now) {
     Bytes += kHeaderBytes;
     Node &Sender = m_Nodes[From];
     Sender.m_SentBytes += Bytes;
     Sender.m_UplinkFreeAt = std::max(Sender.m_UplinkFreeAt, Now) +
                             serialisation(Sender.m_Capacity, Bytes);
+    return Sender.m_UplinkFreeAt;
+  }
+  /// Returns when a message that arrives at the link of its receiver has passed
+  /// it.
+  Time receive(size_t To, size_t Bytes, Time Arrival) {
     Node &Receiver = m_Nodes[To];
     Receiver.m_DownlinkFreeAt =
-        std::max(Receiver.m_DownlinkFreeAt, Sender.m_UplinkFreeAt + Hop) +
-        serialisation(Receiver.m_Capacity, Bytes);
+        std::max(Receiver.m_DownlinkFreeAt, Arrival) +
+        serialisation(Receiver.m_Capacity, Bytes + kHeaderBytes);
     return Receiver.m_DownlinkFreeAt;
   }
 
--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -36,6 +36,13 @@
   /// m_HopDelay.
   std::optional<NodeCapacity> m_HostCapacity;
   NodeCapacity m_ControlCapacity{12'500, 0.32};
+  /// The first hosts, with wider links than the others.
+  size_t m_WideHosts = 0;
+  NodeCapacity m_WideCapacity{12'500, 0.32};
+  bool m_PublishesCapacity = false;
+  /// Statements and rows have 100 to this many bytes, which take their time on
+  /// the links between hosts and instances; 0 for short ones that take none.
+  size_t m_MaxBodyBytes = 0;
 };
 
 class SessionFleet {
@@ -78,8 +85,14 @@
     m_Control.m_Leader = HostName{"c0"};
     m_Control.m_Members = {ControlMember{
         MemberId{1}, HostName{"c0"}, {}, {"127.0.0.1", kControlPort}, {}}};
-    for (size_t Index = 0; Index < m_Shape.m_Hosts; ++Index)
+    for (size_t Index = 0; Index < m_Shape.m_Hosts; ++Index) {
       m_Control.accept(RegisterHost{recordOf(Index)});
+      if (m_Shape.m_HostCapacity)
+        m_Network.setCapacity(Index, capacityOf(Index));
+      if (m_Shape.m_PublishesCapacity)
+        m_Control.accept(
+            SetHostCapacity{recordOf(Index).m_Name, publishedCapacity(Index)});
+    }
     m_Control.m_ChunkBytes = 100'000;
     m_Control.accept(InstallPolicy{makePolicy(1), ""});
     publishDirectory();
@@ -94,7 +107,7 @@
     }
     for (size_t Index = 0; Index < m_Shape.m_Hosts; ++Index) {
       if (m_Shape.m_HostCapacity)
-        m_Network.setCapacity(Index, *m_Shape.m_HostCapacity);
+        m_Network.setCapacity(Index, capacityOf(Index));
       start(Index);
     }
     runUntil([&] { return m_Cluster.leader().has_value(); });
@@ -108,6 +121,8 @@
   void start(size_t Index) {
     ProxyOptions Options;
     Options.m_Host = recordOf(Index);
+    if (m_Shape.m_PublishesCapacity)
+      Options.m_Capacity = publishedCapacity(Index);
     Options.m_FleetSecret = "0123456789abcdef";
     Options.m_ControlPeers = {{"127.0.0.1", kControlPort}};
     Options.m_Seed = Index;
@@ -298,6 +313,15 @@
       std::visit([&](const auto &Typed) { on(Index, Typed); }, Action);
   }
 
+  FleetPolicy policyOf(uint64_t Version) const { return makePolicy(Version); }
+  /// Identifier of the statement that was sent last.
+  std::string lastRequestId() const {
+    return "r" + std::to_string(m_LastRequest);
+  }
+  static KeyDigest keyDigestOf(size_t Organisation) {
+    return digestOfKey(keyOf(Organisation));
+  }
+
   /// Installs a policy of the given version at the leader.
   void installPolicy(uint64_t Version) {
     handleControl(*m_Cluster.leader(),
@@ -326,6 +350,10 @@
   /// Hosts reach control hosts and instances, but not one another.
   bool m_IsPartitioned = false;
   std::vector<std::string> m_Decisions;
+  /// Hosts whose messages to FakeControl are lost.
+  std::set<size_t> m_CutFromControl;
+  /// Hosts that get each reply of FakeControl twice.
+  std::set<size_t> m_RepeatsControl;
 
   /// Index of the first control host among the nodes of the network.
   static constexpr size_t kControlBase = 100'000;
@@ -368,6 +396,19 @@
                       {"127.0.0.1", static_cast<uint16_t>(kHostPort + Index)}};
   }
 
+  NodeCapacity capacityOf(size_t Index) const {
+    return Index < m_Shape.m_WideHosts ? m_Shape.m_WideCapacity
+                                       : *m_Shape.m_HostCapacity;
+  }
+  HostCapacity publishedCapacity(size_t Index) const {
+    constexpr double kKbitPerBytesPerMs = 8;
+    constexpr double kPermille = 1'000;
+    NodeCapacity Capacity = capacityOf(Index);
+    return HostCapacity{
+        static_cast<uint32_t>(Capacity.m_LinkBytesPerMs * kKbitPerBytesPerMs),
+        static_cast<uint32_t>(Capacity.m_CpuShare * kPermille)};
+  }
+
   FleetPolicy makePolicy(uint64_t Version) const {
     FleetPolicy Policy;
     Policy.m_Version = Version;
@@ -558,16 +599,20 @@
             MessageReceived{Peer.second, Action.m_Message});
   }
   void sendToControl(const LinkEnd &End, const Message &Sent) {
+    if (m_CutFromControl.contains(End.first))
+      return;
     std::vector<Message> Replies;
     if (const PollRequest *Poll = std::get_if<PollRequest>(&Sent))
       for (const PollReply &Reply : m_Control.answer(*Poll))
         Replies.emplace_back(Reply);
     if (const TokenRequest *Tokens = std::get_if<TokenRequest>(&Sent))
       Replies.emplace_back(m_Control.lend(*Tokens));
-    for (const Message &Reply : Replies)
-      schedule(milliseconds(1), [this, End, Reply] {
-        handle(End.first, MessageReceived{End.second, Reply});
-      });
+    size_t Copies = m_RepeatsControl.contains(End.first) ? 2 : 1;
+    for (size_t Copy = 0; Copy < Copies; ++Copy)
+      for (const Message &Reply : Replies)
+        schedule(milliseconds(1), [this, End, Reply] {
+          handle(End.first, MessageReceived{End.second, Reply});
+        });
   }
 
   // Connections to instances.
@@ -631,6 +676,24 @@
     Worker.m_Queue.push_back(std::move(Start));
   }
   void on(size_t Index, const SendToInstance &Action) {
+    if (m_Shape.m_MaxBodyBytes == 0)
+      return receiveAtInstance(Index, Action);
+    Time At = m_Network.send(
+        Index, kStatementBytes + Action.m_Statement.m_Text.size(), m_Now);
+    schedule(At - m_Now,
+             [this, Index, Action] { receiveAtInstance(Index, Action); });
+  }
+  /// Returns when the reply of an instance has reached the host.
+  Time replyArrival(size_t Index, const StatementReply &Reply) {
+    Time Sent = m_Now + m_Shape.m_HopDelay;
+    if (m_Shape.m_MaxBodyBytes == 0)
+      return Sent;
+    size_t Bytes = kStatementBytes;
+    for (const std::string &Row : Reply.m_Rows)
+      Bytes += Row.size();
+    return m_Network.receive(Index, Bytes, Sent);
+  }
+  void receiveAtInstance(size_t Index, const SendToInstance &Action) {
     ConnectionKey Key{Index, Action.m_Connection};
     auto Found = m_Connections.find(Key);
     if (Found == m_Connections.end())
@@ -648,8 +711,10 @@
          Receiver.m_Queue.size() >= m_Shape.m_QueueLimit) ||
         (m_IsRejectedAsBusy && m_IsRejectedAsBusy(Action.m_Statement));
     StatementReply Reply = replyOf(Receiver, Found->second, Action, IsFull);
+    if (Kind == StatementKind::Read)
+      Reply.m_Rows.emplace_back(Action.m_Statement.m_Text.size(), 'r');
     std::function<void()> Answer = [this, Key, Reply] {
-      schedule(m_Shape.m_HopDelay, [this, Key, Reply] {
+      schedule(replyArrival(Key.first, Reply) - m_Now, [this, Key, Reply] {
         if (m_Connections.contains(Key))
           process(Key.first, kStatementBytes,
                   InstanceReplied{Key.second, Reply});
