Evacuate an availability zone on an operator's order

Cause: nothing of it existed; the call of the platform's operator was answered 404. The order is an entry of the replicated log; hosts stop reads in the zone at once and close it after a grace time; the leader demotes a primary there, waits for a replica elsewhere that holds its last commit, and promotes it. Commands: zones evacuate, restore, list; the platform's two calls. Failed try: the test fleet replicated to the members after the primary, whichever it was, and crashed after a promotion; it now replicates to the other members of the group.

--- a/include/almondpier/ControlHost.h
+++ b/include/almondpier/ControlHost.h
@@ -68,6 +68,8 @@
   using OnReply = std::function<void(const ReplyToOperation &)>;
 
   void installPolicy(InstallPolicy Install, OnReply Reply);
+  void evacuateZone(const EvacuateZone &Order, const std::string &Actor,
+                    OnReply Reply);
   /// Replies without an error once core() reflects every change accepted
   /// before this call.
   void readBarrier(OnReply Reply);
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -325,6 +325,12 @@
   m_State->post(PolicySubmitted{Id, std::move(Install)});
 }
 
+void ControlHost::evacuateZone(const EvacuateZone &Order,
+                               const std::string &Actor, OnReply Reply) {
+  OperationId Id = m_State->beginOperation(std::move(Reply));
+  m_State->post(ZoneEvacuationRequested{Id, Order, Actor});
+}
+
 void ControlHost::readBarrier(OnReply Reply) {
   OperationId Id = m_State->beginOperation(std::move(Reply));
   m_State->post(OperatorRead{Id});
--- a/src/control/ControlJson.cpp
+++ b/src/control/ControlJson.cpp
@@ -75,6 +75,9 @@
                           {stringField(Source, "instance")}};
   if (Type == "remove_host")
     return RemoveHost{{stringField(Source, "host")}};
+  if (Type == "evacuate_zone")
+    return EvacuateZone{{stringField(Source, "zone")},
+                        Source.value("evacuated", true)};
   throw Error(ErrorKind::BadRequest, "unknown change type '" + Type + "'");
 }
 
@@ -226,6 +229,9 @@
         Json{{"host", Entry.first.m_Value},
              {"zone", Entry.second.m_Zone.m_Value},
              {"forward", formatEndpoint(Entry.second.m_ForwardEndpoint)}});
+  Json EvacuatedZones = Json::array();
+  for (const AvailabilityZone &Zone : Configuration.evacuatedZones())
+    EvacuatedZones.push_back(Zone.m_Value);
   return Json{{"version", Configuration.version()},
               {"preset_in_force",
                std::string(nameOf(Configuration.activePresetKind()))},
@@ -233,7 +239,8 @@
               {"organisations", Organisations},
               {"keys", Keys},
               {"databases", Databases},
-              {"hosts", Hosts}};
+              {"hosts", Hosts},
+              {"evacuated_zones", EvacuatedZones}};
 }
 
 Json toJson(const AuditRecord &Record) {
--- a/src/control/OperationsServer.cpp
+++ b/src/control/OperationsServer.cpp
@@ -148,6 +148,13 @@
 void OperationsServer::handleChange(const HttpServerRequest &Request,
                                     const std::string &Actor) {
   Json Body = parseBody(Request);
+  ChangeBody Requested = parseChangeBody(Body.value("change", Json::object()));
+  if (const EvacuateZone *Order = std::get_if<EvacuateZone>(&Requested)) {
+    // Such an order is idempotent, so it needs no identifier and no version.
+    OperationId Id =
+        addPending(PendingRequest{Request.m_Id, RequestKind::Change});
+    return m_OnEvent(ZoneEvacuationRequested{Id, *Order, Actor});
+  }
   OperatorChange Event;
   Event.m_Change.m_ChangeId = requireStringField(Body, "change_id");
   auto Version = Body.find("expected_version");
@@ -157,7 +164,7 @@
   Event.m_Change.m_ExpectedVersion = Version->get<uint64_t>();
   Event.m_Change.m_Actor = Actor;
   Event.m_Change.m_WallTimeMs = wallTimeMs();
-  Event.m_Change.m_Body = parseChangeBody(Body.value("change", Json::object()));
+  Event.m_Change.m_Body = std::move(Requested);
   Event.m_Id = addPending(PendingRequest{Request.m_Id, RequestKind::Change});
   m_OnEvent(Event);
 }
--- a/src/decision/control/ChangeController.cpp
+++ b/src/decision/control/ChangeController.cpp
@@ -1,5 +1,7 @@
 #include "decision/control/ChangeController.h"
 
+#include <algorithm>
+
 namespace almondpier {
 
 namespace {
@@ -28,8 +30,67 @@
   Context.m_Actions.push_back(std::move(Reply));
 }
 
+/// Zones of everything that has registered with the cluster.
+std::set<AvailabilityZone> knownZones(const ControlBlackboard &Board) {
+  std::set<AvailabilityZone> Zones;
+  for (const auto &[Name, Host] : Board.configuration().hosts())
+    Zones.insert(Host.m_Zone);
+  for (const auto &[Name, Database] : Board.configuration().databases())
+    for (const auto &[Member, Instance] : Database.m_Instances)
+      Zones.insert(Instance.m_Zone);
+  for (const InstanceDescription &Instance : Board.m_Directory.m_Instances)
+    Zones.insert(Instance.m_Zone);
+  return Zones;
+}
+
+/// Returns why a zone cannot be evacuated, if it cannot.
+std::optional<ErrorReport> evacuationRefusal(const AvailabilityZone &Zone,
+                                             const ControlBlackboard &Board) {
+  std::set<AvailabilityZone> Zones = knownZones(Board);
+  if (Zones.erase(Zone) == 0)
+    return refusal(ErrorKind::NotFound,
+                   "no host or instance is in the zone '" + Zone.m_Value + "'");
+  if (std::all_of(Zones.begin(), Zones.end(),
+                  [&](const AvailabilityZone &Other) {
+                    return Board.configuration().isEvacuated(Other);
+                  }))
+    return refusal(ErrorKind::BadRequest,
+                   "'" + Zone.m_Value +
+                       "' is the last zone in use; restore another one first");
+  return std::nullopt;
+}
+
 } // namespace
 
+void ChangeController::submitEvacuation(const ZoneEvacuationRequested &Event,
+                                        ControlContext &Context) {
+  const ControlBlackboard &Board = Context.m_Board;
+  // Only the leader knows whether a later order is in its log.
+  if (!Board.m_IsLeader || Board.m_IsShuttingDown)
+    return Context.refuseAsFollower(Event.m_Id);
+  const EvacuateZone &Order = Event.m_Order;
+  bool IsEvacuated = Board.configuration().isEvacuated(Order.m_Zone);
+  if (Order.m_IsEvacuated && !IsEvacuated)
+    if (std::optional<ErrorReport> Refusal =
+            evacuationRefusal(Order.m_Zone, Board))
+      return reply(Event.m_Id, *Refusal, Context);
+  if (!Board.canExtendConfiguration())
+    return reply(Event.m_Id,
+                 ErrorReport{ErrorKind::Overloaded,
+                             "a control host of an earlier version, or one "
+                             "that has just joined, cannot record evacuations "
+                             "yet; upgrade all control hosts, then retry",
+                             Ran::No, 1'000},
+                 Context);
+  // An order that changes nothing goes through the log too, because an opposite
+  // one may be on its way there.
+  Change Proposed;
+  Proposed.m_Actor = Event.m_Actor;
+  Proposed.m_WallTimeMs = Board.m_WallTimeMs;
+  Proposed.m_Body = Order;
+  propose(Event.m_Id, Proposed, Context);
+}
+
 void ChangeController::submit(const OperatorChange &Event,
                               ControlContext &Context) {
   if (!Context.m_Board.m_IsLeader || Context.m_Board.m_IsShuttingDown)
--- a/src/decision/control/ChangeController.h
+++ b/src/decision/control/ChangeController.h
@@ -14,6 +14,10 @@
   void submit(const OperatorChange &Event, ControlContext &Context);
   /// Answers at once when the document in force is as new.
   void submitPolicy(const PolicySubmitted &Event, ControlContext &Context);
+  /// Refuses an unknown zone and the last one that is in use. Repeated orders
+  /// are accepted without effect.
+  void submitEvacuation(const ZoneEvacuationRequested &Event,
+                        ControlContext &Context);
   /// Proposes a change of the membership; the outcome answers Id.
   void submitMembership(OperationId Id, const Membership &Target,
                         const Change &Record, ControlContext &Context);
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -259,6 +259,9 @@
   void on(const PolicySubmitted &Event, ControlContext &Context) {
     m_Changes.submitPolicy(Event, Context);
   }
+  void on(const ZoneEvacuationRequested &Event, ControlContext &Context) {
+    m_Changes.submitEvacuation(Event, Context);
+  }
   void on(const InstanceCheckedIn &Event, ControlContext &Context) {
     if (!isReady())
       return Context.refuseAsFollower(Event.m_Id);
--- a/src/decision/control/ControlEvents.h
+++ b/src/decision/control/ControlEvents.h
@@ -65,6 +65,12 @@
   OperationId m_Id;
   InstallPolicy m_Install;
 };
+/// An operator evacuates or restores a zone.
+struct ZoneEvacuationRequested {
+  OperationId m_Id;
+  EvacuateZone m_Order;
+  std::string m_Actor;
+};
 struct InstanceCheckedIn {
   OperationId m_Id;
   InstanceCheckIn m_CheckIn;
@@ -85,8 +91,8 @@
 struct GroupCallAnswered {
   GroupCallId m_Call;
   GroupCallOutcome m_Outcome = GroupCallOutcome::Unknown;
-  /// Position that the instance has received; set by Done answers to
-  /// ReadPosition and SealReplica.
+  /// Position that the instance has received; set by Done answers to all calls
+  /// but Promote.
   Position m_Received;
   uint64_t m_Term = 0;
   bool m_IsPrimary = false;
@@ -99,9 +105,9 @@
 using ControlEvent =
     std::variant<OperatorChange, OperatorRead, OperatorRemoveMember,
                  InstanceAnnounced, DatagramReceived, InstanceCallAnswered,
-                 PolicySubmitted, InstanceCheckedIn, GroupCallAnswered,
-                 ClockTick, LinkOpened, LinkClosed, MessageReceived,
-                 ShutdownRequested>;
+                 PolicySubmitted, ZoneEvacuationRequested, InstanceCheckedIn,
+                 GroupCallAnswered, ClockTick, LinkOpened, LinkClosed,
+                 MessageReceived, ShutdownRequested>;
 
 // Actions.
 
@@ -143,6 +149,9 @@
 
 enum class GroupCallKind : uint8_t {
   ReadPosition,
+  /// Makes a primary of an earlier term a replica, so that it acknowledges no
+  /// further commit.
+  DemotePrimary,
   /// Stops a replica from receiving, so that the primary gets no further
   /// acknowledgement through it.
   SealReplica,
@@ -152,7 +161,7 @@
   GroupCallId m_Call;
   GroupCallKind m_Kind = GroupCallKind::ReadPosition;
   InstanceDescription m_Instance;
-  /// Above every term of the group; set with SealReplica.
+  /// Above every term of the group; set with SealReplica and DemotePrimary.
   uint64_t m_SealTerm = 0;
   /// Rises with each attempt and each leader; set with Promote.
   uint64_t m_FencingToken = 0;
--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -33,6 +33,11 @@
 /// How long a promoted instance may take to announce its role after the call
 /// has returned.
 constexpr Duration kRoleTimeout = milliseconds(3'000);
+/// How long replicas may take to receive the last commits of a demoted primary.
+/// The group accepts no writes meanwhile.
+constexpr Duration kCatchUpLimit = milliseconds(2'000);
+/// Interval at which their positions are read.
+constexpr Duration kCatchUpInterval = milliseconds(30);
 constexpr Duration kRetryDelay = milliseconds(300);
 /// How long a candidate that refused is excluded, and a group is not monitored
 /// after a completed promotion.
@@ -56,6 +61,13 @@
   Group.m_NextAttemptAt = Now + Delay;
   Group.m_Candidates.clear();
   Group.m_Chosen.reset();
+  Group.m_Leaving.reset();
+  Group.m_LastPosition.reset();
+}
+
+bool PromotionController::isUsable(const InstanceDescription &Instance) const {
+  return Instance.m_State == InstanceState::Ready &&
+         !m_Board.configuration().isEvacuated(Instance.m_Zone);
 }
 
 std::map<DatabaseName, PromotionController::Members>
@@ -109,8 +121,11 @@
     return;
   case Step::ReadPositions:
     return chooseCandidate(Group, Name, Group.m_Candidates.size(), Context);
+  case Step::Demote:
   case Step::Promote:
     return;
+  case Step::CatchUp:
+    return awaitCatchUp(Group, Name, Context);
   case Step::AwaitRole:
     return awaitRole(Group, Name, Members, Context);
   }
@@ -203,11 +218,10 @@
   const InstanceDescription *Primary = nullptr;
   bool HasReplica = false;
   for (const InstanceDescription *Member : Members) {
-    bool IsReady = Member->m_State == InstanceState::Ready;
     if (Member->m_IsPrimary &&
         (Primary == nullptr || Primary->m_State != InstanceState::Ready))
       Primary = Member;
-    HasReplica = HasReplica || (!Member->m_IsPrimary && IsReady);
+    HasReplica = HasReplica || (!Member->m_IsPrimary && isUsable(*Member));
   }
   if (Primary != nullptr)
     Group.m_NoPrimarySince.reset();
@@ -224,6 +238,11 @@
   checkPrimary(Group, Name, *Primary, Context);
   if (isUnreachable(Group, Name, *Primary, Now))
     return "primary " + Primary->m_Name.m_Value + " is unreachable";
+  if (!isUsable(*Primary)) {
+    Group.m_Leaving = *Primary;
+    return "primary " + Primary->m_Name.m_Value + " is in the evacuated zone " +
+           Primary->m_Zone.m_Value;
+  }
   return std::nullopt;
 }
 
@@ -236,7 +255,7 @@
   });
   Group.m_Candidates.clear();
   for (const InstanceDescription *Member : Members)
-    if (!Member->m_IsPrimary && Member->m_State == InstanceState::Ready)
+    if (!Member->m_IsPrimary && isUsable(*Member))
       Group.m_Candidates[Member->m_Name] = Candidate{*Member, {}, 0, false};
   Group.m_Reason = Reason;
   Group.m_StartedAt = Context.m_Now;
@@ -265,8 +284,9 @@
                                         ControlContext &Context) {
   // With synchronous replication, a primary cannot acknowledge writes once its
   // replicas are sealed. The first pass reads the positions to learn the term
-  // to seal at.
-  Group.m_IsSealing = syncReplicasOf(Name) > 0 && Group.m_HighestTerm > 0;
+  // to seal at. A demoted primary acknowledges nothing in any case.
+  Group.m_IsSealing =
+      !Group.m_Leaving && syncReplicasOf(Name) > 0 && Group.m_HighestTerm > 0;
   for (auto &[Member, Candidate] : Group.m_Candidates) {
     CallGroup Action;
     Action.m_TimeoutMs = kPositionCallTimeoutMs;
@@ -304,7 +324,8 @@
       Context.m_Now - Group.m_StepStartedAt >= kPositionCollectionTime;
   if (HasPendingCalls && !IsTimedOut)
     return;
-  if (SyncReplicas > 0 && !Group.m_IsSealing && Group.m_HighestTerm > 0) {
+  if (SyncReplicas > 0 && !Group.m_IsSealing && !Group.m_Leaving &&
+      Group.m_HighestTerm > 0) {
     enterStep(Group, Step::ReadPositions, Context.m_Now);
     return readPositions(Group, Name, Context);
   }
@@ -323,11 +344,78 @@
     ++m_Abandoned;
     return endAttempt(Group, kRetryDelay, Context.m_Now);
   }
+  if (Group.m_Leaving && !Group.m_LastPosition)
+    return demote(Group, Name, Context);
   Group.m_Chosen = MostAdvanced->m_Instance.m_Name;
   enterStep(Group, Step::Promote, Context.m_Now);
   promote(Group, Name, Context);
 }
 
+void PromotionController::demote(Group &Group, const DatabaseName &Name,
+                                 ControlContext &Context) {
+  CallGroup Action;
+  Action.m_TimeoutMs = kPositionCallTimeoutMs;
+  Action.m_SealTerm = Group.m_HighestTerm + kSealTermIncrement;
+  enterStep(Group, Step::Demote, Context.m_Now);
+  sendCall(Name, GroupCallKind::DemotePrimary, *Group.m_Leaving, Action,
+           Context);
+}
+
+void PromotionController::onDemoted(Group &Group, const DatabaseName &Name,
+                                    const GroupCallAnswered &Event,
+                                    ControlContext &Context) {
+  std::string Primary = "database " + Name.m_Value + ": primary " +
+                        Group.m_Leaving->m_Name.m_Value;
+  if (Event.m_Outcome == GroupCallOutcome::Done) {
+    Context.reportStateChange(Primary + " is demoted at position " +
+                              std::to_string(Event.m_Received.m_Term) + "." +
+                              std::to_string(Event.m_Received.m_Index));
+    Group.m_LastPosition = Event.m_Received;
+    enterStep(Group, Step::CatchUp, Context.m_Now);
+  } else {
+    // The promotion ends the leadership of a primary that cannot be demoted.
+    Context.reportStateChange(Primary + " could not be demoted; it is replaced "
+                                        "as an unreachable one");
+    Group.m_Leaving.reset();
+    enterStep(Group, Step::ReadPositions, Context.m_Now);
+  }
+  Group.m_PositionsReadAt = Context.m_Now;
+  readPositions(Group, Name, Context);
+}
+
+void PromotionController::awaitCatchUp(Group &Group, const DatabaseName &Name,
+                                       ControlContext &Context) {
+  bool HasCaughtUp = std::any_of(
+      Group.m_Candidates.begin(), Group.m_Candidates.end(),
+      [&](const auto &Entry) {
+        return Entry.second.m_ReceivedPosition &&
+               *Entry.second.m_ReceivedPosition >= *Group.m_LastPosition &&
+               !Group.m_ExcludedUntil.contains(Entry.first);
+      });
+  bool IsTimedOut = Context.m_Now - Group.m_StepStartedAt >= kCatchUpLimit;
+  if (HasCaughtUp || IsTimedOut) {
+    if (!HasCaughtUp)
+      Context.reportStateChange(
+          "database " + Name.m_Value +
+          ": no replica has received the last commits of the demoted primary "
+          "in time; they are lost");
+    // The positions are at hand, so the choice follows at once.
+    for (auto &[Member, Candidate] : Group.m_Candidates)
+      Candidate.m_IsPending = false;
+    return chooseCandidate(Group, Name, Group.m_Candidates.size(), Context);
+  }
+  if (Context.m_Now - Group.m_PositionsReadAt < kCatchUpInterval)
+    return;
+  bool HasPendingCalls =
+      std::any_of(Group.m_Candidates.begin(), Group.m_Candidates.end(),
+                  [](const auto &Entry) { return Entry.second.m_IsPending; });
+  if (HasPendingCalls &&
+      Context.m_Now - Group.m_PositionsReadAt < kPositionCollectionTime)
+    return;
+  Group.m_PositionsReadAt = Context.m_Now;
+  readPositions(Group, Name, Context);
+}
+
 void PromotionController::promote(Group &Group, const DatabaseName &Name,
                                   ControlContext &Context) {
   const Candidate &Chosen = Group.m_Candidates.at(*Group.m_Chosen);
@@ -378,10 +466,16 @@
   Group &Group = Entry->second;
   if (Group.m_PrimaryCheck.m_Call == Event.m_Call)
     return onPrimaryChecked(Group, Event, Context.m_Now);
+  if (Answered.m_Kind == GroupCallKind::DemotePrimary) {
+    if (Group.m_Step == Step::Demote)
+      onDemoted(Group, Answered.m_Database, Event, Context);
+    return;
+  }
   if (Answered.m_Kind != GroupCallKind::Promote) {
     auto Queried = Group.m_Candidates.find(Answered.m_Instance);
-    if (Group.m_Step != Step::ReadPositions ||
-        Queried == Group.m_Candidates.end())
+    bool IsCollecting =
+        Group.m_Step == Step::ReadPositions || Group.m_Step == Step::CatchUp;
+    if (!IsCollecting || Queried == Group.m_Candidates.end())
       return;
     Queried->second.m_IsPending = false;
     if (Event.m_Outcome != GroupCallOutcome::Done)
--- a/src/decision/control/PromotionController.h
+++ b/src/decision/control/PromotionController.h
@@ -10,9 +10,11 @@
 /// Runs at the leader. Detects an unreachable, draining or missing primary of
 /// each group in the directory, reads the positions of the replicas (and seals
 /// the replicas if the group replicates synchronously), and has the most
-/// advanced replica promoted. The fencing token increases with the leader's
-/// term and with each attempt, so that instances refuse a delayed call of an
-/// earlier attempt.
+/// advanced replica promoted. A primary in an evacuated zone is demoted first,
+/// and a replica elsewhere promoted once it holds everything that the primary
+/// acknowledged; no instance of an evacuated zone is promoted. The fencing
+/// token increases with the leader's term and with each attempt, so that
+/// instances refuse a delayed call of an earlier attempt.
 class PromotionController {
 public:
   explicit PromotionController(ControlBlackboard &Board) : m_Board(Board) {}
@@ -22,7 +24,17 @@
   CounterList counters() const;
 
 private:
-  enum class Step : uint8_t { Monitor, ReadPositions, Promote, AwaitRole };
+  enum class Step : uint8_t {
+    Monitor,
+    ReadPositions,
+    /// Planned moves only: the primary is being demoted.
+    Demote,
+    /// Planned moves only: the replicas receive the last commits of the
+    /// primary.
+    CatchUp,
+    Promote,
+    AwaitRole
+  };
 
   struct Candidate {
     InstanceDescription m_Instance;
@@ -49,6 +61,11 @@
     std::optional<Time> m_NoPrimarySince;
     std::map<InstanceName, Candidate> m_Candidates;
     std::optional<InstanceName> m_Chosen;
+    /// The reachable primary of an evacuated zone, in a planned move.
+    std::optional<InstanceDescription> m_Leaving;
+    /// Position of m_Leaving after its demotion.
+    std::optional<Position> m_LastPosition;
+    Time m_PositionsReadAt;
     /// Replicas that refused a promotion, each excluded as a candidate until
     /// the given time.
     std::map<InstanceName, Time> m_ExcludedUntil;
@@ -88,6 +105,14 @@
                     ControlContext &Context);
   void onPrimaryChecked(Group &Group, const GroupCallAnswered &Event, Time Now);
   uint32_t syncReplicasOf(const DatabaseName &Name) const;
+  /// Returns whether the instance may become primary.
+  bool isUsable(const InstanceDescription &Instance) const;
+  void demote(Group &Group, const DatabaseName &Name, ControlContext &Context);
+  void onDemoted(Group &Group, const DatabaseName &Name,
+                 const GroupCallAnswered &Event, ControlContext &Context);
+  /// Promotes a replica that holds all commits of the demoted primary.
+  void awaitCatchUp(Group &Group, const DatabaseName &Name,
+                    ControlContext &Context);
   void startAttempt(Group &Group, const DatabaseName &Name,
                     const Members &Members, const std::string &Reason,
                     ControlContext &Context);
--- a/src/decision/session/GroupTracker.cpp
+++ b/src/decision/session/GroupTracker.cpp
@@ -68,8 +68,9 @@
 std::vector<const InstanceDescription *>
 GroupTracker::readyInstances(const DatabaseName &Database) const {
   std::vector<const InstanceDescription *> Result = membersOf(Database);
-  std::erase_if(Result, [](const InstanceDescription *Entry) {
-    return Entry->m_State != InstanceState::Ready;
+  std::erase_if(Result, [&](const InstanceDescription *Entry) {
+    return Entry->m_State != InstanceState::Ready ||
+           m_Board.m_Configuration.isEvacuated(Entry->m_Zone);
   });
   return Result;
 }
--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -191,7 +191,8 @@
       m_Board.m_Directory.m_Instances.end(),
       [&](const InstanceDescription &Known) { return Known.m_Name == Name; });
   if (Entry == m_Board.m_Directory.m_Instances.end() ||
-      Entry->m_State == InstanceState::Draining)
+      Entry->m_State == InstanceState::Draining ||
+      m_Board.m_Configuration.isEvacuated(Entry->m_Zone))
     return Open;
   // Statements travel to the owner, so connections of another host are left
   // from a time in which it reached none.
--- a/src/decision/session/InstanceSelector.cpp
+++ b/src/decision/session/InstanceSelector.cpp
@@ -89,12 +89,20 @@
   bool IsSilent =
       !Health.m_UnreachableSince && m_Tracker.isLost(Instance.m_Name, Now);
   return !IsSilent && Now >= Health.m_BackoffUntil &&
+         !m_Evacuated.isClosed(Instance.m_Zone, Now) &&
          static_cast<double>(m_Pool.busyCount(Instance.m_Name)) + 1 <=
              Allowed &&
          m_Pool.availability(Instance, Session.m_Organisation, Now) !=
              InstanceConnectionPool::Availability::None;
 }
 
+bool InstanceSelector::isPrimaryInClosedZone(const CallerSession &Session,
+                                             Time Now) {
+  const InstanceDescription *Primary =
+      m_Tracker.primaryOf(Session.m_Policy.m_Database, Now);
+  return Primary != nullptr && m_Evacuated.isClosed(Primary->m_Zone, Now);
+}
+
 bool InstanceSelector::isUnreachable(const CallerSession &Session,
                                      const InstanceRequirement &Requirement,
                                      Time Now) {
--- a/src/decision/session/InstanceSelector.h
+++ b/src/decision/session/InstanceSelector.h
@@ -2,6 +2,7 @@
 /// Selects the instance that runs a statement.
 #pragma once
 
+#include "decision/session/EvacuatedZones.h"
 #include "decision/session/Session.h"
 
 namespace almondpier {
@@ -17,8 +18,10 @@
 class InstanceSelector {
 public:
   InstanceSelector(const ProxyBlackboard &Board, GroupTracker &Tracker,
+                   const EvacuatedZones &Evacuated,
                    const InstanceConnectionPool &Pool)
-      : m_Board(Board), m_Tracker(Tracker), m_Pool(Pool) {}
+      : m_Board(Board), m_Tracker(Tracker), m_Evacuated(Evacuated),
+        m_Pool(Pool) {}
 
   /// Turns a single read into one that the primary must confirm, if the known
   /// position of the primary will soon be too old for reads at replicas. An
@@ -34,6 +37,9 @@
   /// unreachable for some time, or none is known.
   bool isUnreachable(const CallerSession &Session,
                      const InstanceRequirement &Requirement, Time Now);
+  /// Returns whether the presumed primary of the session's group may not be
+  /// used any more because its zone is evacuated.
+  bool isPrimaryInClosedZone(const CallerSession &Session, Time Now);
   /// Describes why none of the eligible instances can run the pending
   /// statement, for the log and the error message.
   std::string describeWaitReason(const CallerSession &Session, Time Now);
@@ -51,6 +57,7 @@
 
   const ProxyBlackboard &m_Board;
   GroupTracker &m_Tracker;
+  const EvacuatedZones &m_Evacuated;
   const InstanceConnectionPool &m_Pool;
 };
 
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -53,7 +53,8 @@
     TokenController &Tokens, SessionActions &Actions, GroupOwners &Owners,
     StatementForwarder &Forwarder, LinkTable &Links, ProxyActions &LinkActions)
     : m_Limits(Limits), m_Board(Board), m_Tokens(Tokens), m_Actions(Actions),
-      m_Executor(Board, m_Sessions, Actions, Owners, Forwarder),
+      m_Executor(Board, m_Sessions, Actions, Owners, Forwarder,
+                 Limits.m_EvacuationGrace),
       m_Served(m_Sessions, m_Executor, Owners, Links, LinkActions) {}
 
 bool SessionController::isFresh(Time Now) const {
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -19,15 +19,26 @@
   /// Time between the shutdown request and the forced termination of the
   /// process.
   Duration m_ShutdownGrace = std::chrono::milliseconds(6'000);
+  /// How long a primary in an evacuated zone serves after this host has learnt
+  /// of the evacuation.
+  Duration m_EvacuationGrace = std::chrono::milliseconds(1'500);
 
   /// Returns limits with which a revoked key stops working within
-  /// RevocationLimit and the process terminates within Grace. The remainder of
-  /// RevocationLimit is reserved for statements that are queued or running.
-  static SessionLimits fromBounds(Duration RevocationLimit, Duration Grace) {
+  /// RevocationLimit, an evacuated zone receives nothing after EvacuationLimit
+  /// and the process terminates within Grace. The remainder of RevocationLimit
+  /// is reserved for statements that are queued or running.
+  static SessionLimits
+  fromBounds(Duration RevocationLimit, Duration Grace,
+             Duration EvacuationLimit = std::chrono::milliseconds(5'000)) {
     constexpr int kDivisor = 5;
+    // A statement that was sent in time still has to arrive.
+    constexpr Duration kTransitTime = std::chrono::milliseconds(500);
     SessionLimits Result;
     Result.m_FreshnessLimit = RevocationLimit * 3 / kDivisor;
     Result.m_ShutdownGrace = Grace;
+    Result.m_EvacuationGrace =
+        std::max(Duration::zero(),
+                 EvacuationLimit - Result.m_FreshnessLimit - kTransitTime);
     return Result;
   }
 };
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -153,7 +153,7 @@
                             " is in force after " + std::to_string(Before)});
     if (!m_Configuration.takeChanged())
       return;
-    m_Sessions.executor().onDirectoryChanged(Now);
+    m_Sessions.executor().onConfigurationChanged(Now);
     m_Owners.onConfigurationChanged(Now);
   }
 
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -124,6 +124,12 @@
   const InstanceDescription *Instance =
       m_Selector.select(Session, Requirement, Now);
   if (Instance == nullptr) {
+    if (Requirement.m_Target != StatementTarget::CaughtUp &&
+        m_Selector.isPrimaryInClosedZone(Session, Now)) {
+      fail(Session, SessionError::Busy,
+           "the primary is in an evacuated zone and no other instance leads");
+      return true;
+    }
     if (!m_Selector.isUnreachable(Session, Requirement, Now)) {
       m_FullGroups.insert(std::move(Group));
       return false;
@@ -791,6 +797,30 @@
     onClosed(Id, Now);
 }
 
+void StatementExecutor::leaveClosedZones(Time Now) {
+  if (m_Evacuated.empty())
+    return;
+  std::vector<ConnectionId> Closing;
+  for (const auto &[Id, Connection] : m_Pool.connections()) {
+    const InstanceDescription *Instance = m_Tracker.find(Connection.m_Instance);
+    bool IsAtRest = Connection.m_State == ConnectionState::Idle ||
+                    Connection.m_State == ConnectionState::Pinned;
+    if (IsAtRest && Instance != nullptr &&
+        m_Evacuated.isClosed(Instance->m_Zone, Now))
+      Closing.push_back(Connection.m_Id);
+  }
+  for (ConnectionId Id : Closing) {
+    std::optional<SessionId> User = m_Pool.find(Id)->m_Session;
+    m_Pool.close(Id);
+    auto Found = User ? m_Sessions.find(User->m_Value) : m_Sessions.end();
+    if (Found == m_Sessions.end() || Found->second.m_PinnedConnection != Id)
+      continue;
+    Found->second.m_PinnedConnection.reset();
+    Found->second.m_State = TransactionState::Failed;
+    ++m_EvacuatedTransactions;
+  }
+}
+
 void StatementExecutor::publishReports(Time Now) {
   std::map<InstanceName, Time> WaitingSince;
   for (const auto &[Id, Connection] : m_Pool.connections()) {
@@ -825,6 +855,7 @@
 
 void StatementExecutor::tick(Time Now) {
   closeUnresponsive(Now);
+  leaveClosedZones(Now);
   if (Now - m_ExcessClosedAt >= kCloseExcessInterval) {
     m_ExcessClosedAt = Now;
     m_Pool.closeExcess(Now);
@@ -859,6 +890,9 @@
       {"almondpier_overload_rejections_total",
        "Statements that instances rejected as overloaded",
        static_cast<double>(m_OverloadRejections)},
+      {"almondpier_evacuated_transactions_total",
+       "Transactions rolled back because their zone was evacuated",
+       static_cast<double>(m_EvacuatedTransactions)},
       {"almondpier_statement_retries_total", "Attempts repeated at an instance",
        static_cast<double>(m_Retries)},
       {"almondpier_position_reads_total", "Single reads sent with a position",
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -27,10 +27,11 @@
 
   StatementExecutor(ProxyBlackboard &Board, SessionTable &Sessions,
                     SessionActions &Actions, GroupOwners &Owners,
-                    StatementForwarder &Forwarder)
+                    StatementForwarder &Forwarder, Duration EvacuationGrace)
       : m_Board(Board), m_Sessions(Sessions), m_Actions(Actions),
         m_Owners(Owners), m_Forwarder(Forwarder), m_Tracker(Board),
-        m_Pool(Board, Actions), m_Selector(Board, m_Tracker, m_Pool) {}
+        m_Evacuated(Board, EvacuationGrace), m_Pool(Board, Actions),
+        m_Selector(Board, m_Tracker, m_Evacuated, m_Pool) {}
 
   /// Executes Session.m_Pending, which must be set.
   void submit(CallerSession &Session, Time Now);
@@ -48,7 +49,11 @@
   void onRefused(const InstanceRefused &Event, Time Now);
   void onReplied(const InstanceReplied &Event, Time Now);
   void onClosed(ConnectionId Id, Time Now);
-  void onDirectoryChanged(Time Now) { m_Tracker.onDirectoryChanged(Now); }
+  /// The configuration or the directory changed.
+  void onConfigurationChanged(Time Now) {
+    m_Evacuated.update(Now);
+    m_Tracker.onDirectoryChanged(Now);
+  }
   /// Dispatches the queued statements for which a connection has become
   /// available.
   void dispatchWaiting(Time Now);
@@ -121,6 +126,9 @@
   /// Aborted.
   SessionError errorAfterConnectionLoss(const CallerSession &Session) const;
   void closeUnresponsive(Time Now);
+  /// Closes idle connections to closed zones, and rolls back transactions that
+  /// are open there.
+  void leaveClosedZones(Time Now);
   void publishReports(Time Now);
 
   ProxyBlackboard &m_Board;
@@ -129,6 +137,7 @@
   GroupOwners &m_Owners;
   StatementForwarder &m_Forwarder;
   GroupTracker m_Tracker;
+  EvacuatedZones m_Evacuated;
   InstanceConnectionPool m_Pool;
   InstanceSelector m_Selector;
   /// Groups without a free instance in the current pass over the queue; the
@@ -150,6 +159,8 @@
   uint64_t m_RunWithoutOwner = 0;
   uint64_t m_ConnectionsOverLimit = 0;
   uint64_t m_OverloadRejections = 0;
+  /// Transactions rolled back because their zone was evacuated.
+  uint64_t m_EvacuatedTransactions = 0;
 };
 
 } // namespace almondpier
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -230,14 +230,14 @@
   }
 
   void operator()(const EvacuateZone &Body) {
-    if (!Body.m_IsEvacuated) {
-      m_Target.m_Extension.m_EvacuatedZones.erase(Body.m_Zone);
-      return;
-    }
     if (Body.m_Zone.empty() || Body.m_Zone.m_Value.size() > kMaxNameBytes)
       throw Error(ErrorKind::BadRequest,
                   "the name of a zone has 1 to 64 characters");
-    m_Target.m_Extension.m_EvacuatedZones.insert(Body.m_Zone);
+    std::set<AvailabilityZone> &Zones = m_Target.m_Extension.m_EvacuatedZones;
+    bool HasChanged = Body.m_IsEvacuated ? Zones.insert(Body.m_Zone).second
+                                         : Zones.erase(Body.m_Zone) > 0;
+    if (HasChanged)
+      setDraining(Body.m_Zone, Body.m_IsEvacuated);
   }
 
 private:
@@ -282,6 +282,20 @@
                       std::to_string(MinBurst));
   }
 
+  /// Registered instances of an evacuated zone are drained, and ready again
+  /// when it is restored.
+  void setDraining(const AvailabilityZone &Zone, bool IsDraining) {
+    for (auto &[Name, Database] : m_Target.m_Databases)
+      for (const auto &[Member, Instance] : Database.m_Instances) {
+        if (Instance.m_Zone != Zone)
+          continue;
+        if (IsDraining)
+          Database.m_Draining.insert(Member);
+        else
+          Database.m_Draining.erase(Member);
+      }
+  }
+
   DatabaseRecord &databaseOf(const DatabaseName &Database) {
     auto Found = m_Target.m_Databases.find(Database);
     if (Found == m_Target.m_Databases.end())
--- a/src/operations/ChangeBodies.cpp
+++ b/src/operations/ChangeBodies.cpp
@@ -115,6 +115,8 @@
       {"databases drain", 4},
       {"databases undrain", 4},
       {"databases remove-instance", 4},
+      {"zones evacuate", 3},
+      {"zones restore", 3},
       {"hosts remove", 3}};
   std::string Verb = verbOf(Words);
   auto Found = WordsOfVerb.find(Verb);
@@ -157,6 +159,10 @@
     Draft.m_Body = Json{{"type", "activate_preset"}, {"preset", Words[2]}};
   else if (Verb == "databases remove-instance")
     Draft.m_Body = instanceChange(Words, "remove_instance");
+  else if (Words[0] == "zones")
+    Draft.m_Body = Json{{"type", "evacuate_zone"},
+                        {"zone", Words[2]},
+                        {"evacuated", Verb == "zones evacuate"}};
   else if (Verb == "hosts remove")
     Draft.m_Body = Json{{"type", "remove_host"}, {"host", Words[2]}};
   else {
--- a/src/operations/Operations.cpp
+++ b/src/operations/Operations.cpp
@@ -24,6 +24,8 @@
   almondpier presets activate ordinary|peak|maintenance
   almondpier databases list
   almondpier databases drain|undrain|remove-instance DATABASE INSTANCE
+  almondpier zones list
+  almondpier zones evacuate|restore ZONE           leaves all instances there
   almondpier hosts list
   almondpier hosts remove HOST
   almondpier members list
@@ -104,6 +106,7 @@
           View{{"presets", "list"}, Configuration, printPresets},
           View{{"databases", "list"}, Status, printDatabases},
           View{{"hosts", "list"}, Status, printHosts},
+          View{{"zones", "list"}, Configuration, printZones},
           View{{"members", "list"}, Status, printMembers},
           View{{"status"}, Status, printStatus},
           View{{"audit"}, Audit, printAudit}})
--- a/src/operations/Tables.cpp
+++ b/src/operations/Tables.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -115,6 +116,29 @@
   printFields(Status.at("hosts"), {"host", "zone", "live", "ready"}, Out);
 }
 
+void printZones(const Json &Configuration, std::ostream &Out) {
+  struct Counts {
+    size_t m_Hosts = 0;
+    size_t m_Instances = 0;
+  };
+  std::map<std::string, Counts> Zones;
+  for (const Json &Host : Configuration.at("hosts"))
+    ++Zones[Host.at("zone").get<std::string>()].m_Hosts;
+  for (const Json &Database : Configuration.at("databases"))
+    for (const Json &Instance : Database.at("instances"))
+      ++Zones[Instance.at("zone").get<std::string>()].m_Instances;
+  const Json Evacuated = Configuration.value("evacuated_zones", Json::array());
+  std::vector<Row> Rows{{"zone", "hosts", "instances", "evacuated"}};
+  for (const auto &[Zone, Count] : Zones) {
+    bool IsEvacuated =
+        std::find(Evacuated.begin(), Evacuated.end(), Zone) != Evacuated.end();
+    Rows.push_back({Zone, std::to_string(Count.m_Hosts),
+                    std::to_string(Count.m_Instances),
+                    IsEvacuated ? "yes" : "no"});
+  }
+  printTable(Rows, Out);
+}
+
 void printMembers(const Json &Status, std::ostream &Out) {
   printFields(
       Status.at("members"),
--- a/src/operations/Tables.h
+++ b/src/operations/Tables.h
@@ -13,6 +13,7 @@
 void printPresets(const nlohmann::json &Configuration, std::ostream &Out);
 void printDatabases(const nlohmann::json &Status, std::ostream &Out);
 void printHosts(const nlohmann::json &Status, std::ostream &Out);
+void printZones(const nlohmann::json &Configuration, std::ostream &Out);
 void printMembers(const nlohmann::json &Status, std::ostream &Out);
 void printStatus(const nlohmann::json &Status, std::ostream &Out);
 void printAudit(const nlohmann::json &Page, std::ostream &Out);
--- /dev/null
+++ b/tests/control/EvacuationTest.cpp
@@ -0,0 +1,234 @@
+#include "control/Simulation.h"
+
+using namespace almondpier;
+using namespace almondpier::controltest;
+
+namespace {
+
+const DatabaseName kGroup{"records"};
+const AvailabilityZone kZoneOfPrimary{"z1"};
+
+/// A control cluster with a group of three instances in the zones z1 to z3; "a"
+/// in z1 is the primary. Instances apply commits with a lag and follow the
+/// calls of the leader.
+class Fleet {
+public:
+  Fleet() : m_Sim(3) {
+    REQUIRE(m_Sim.awaitVoters(3));
+    InstallPolicy Install;
+    Install.m_Policy.m_Version = 1;
+    Install.m_Policy.m_Groups[kGroup] = GroupPolicy{20, 0};
+    m_Sim.handle(leader(), PolicySubmitted{nextOperation(), Install});
+    for (const char *Name : {"h1", "h2", "h3"})
+      m_Sim.addHost(Name);
+    m_Sim.m_AnswerGroupCall = [this](const CallGroup &Call) {
+      return answer(Call);
+    };
+    run(std::chrono::seconds(4));
+  }
+
+  size_t leader() { return *m_Sim.leader(); }
+  void run(Duration Time) {
+    for (almondpier::Time Deadline = m_Sim.m_Now + Time;
+         m_Sim.m_Now < Deadline;) {
+      if (m_Sim.leader())
+        checkInAll();
+      m_Sim.run(milliseconds(100));
+    }
+  }
+  /// Sends an order to the leader and returns its answer.
+  ReplyToOperation order(const AvailabilityZone &Zone, bool IsEvacuated) {
+    size_t At = leader();
+    OperationId Id = nextOperation();
+    m_Sim.handle(At, ZoneEvacuationRequested{Id, {Zone, IsEvacuated}, "ann"});
+    REQUIRE(m_Sim.runUntil([&] { return m_Sim.reply(At, Id).has_value(); }));
+    return *m_Sim.reply(At, Id);
+  }
+  bool isAccepted(const AvailabilityZone &Zone, bool IsEvacuated) {
+    ReplyToOperation Reply = order(Zone, IsEvacuated);
+    return Reply.m_Outcome && Reply.m_Outcome->m_Accepted;
+  }
+  size_t countCalls(GroupCallKind Kind, const std::string &Instance) const {
+    return static_cast<size_t>(
+        std::count_if(m_Sim.m_GroupCalls.begin(), m_Sim.m_GroupCalls.end(),
+                      [&](const CallGroup &Call) {
+                        return Call.m_Kind == Kind &&
+                               Call.m_Instance.m_Name.m_Value == Instance;
+                      }));
+  }
+
+  Simulation m_Sim;
+  std::string m_Primary = "a";
+  /// Commits that each instance has received.
+  std::map<std::string, uint64_t> m_Received{{"a", 9}, {"b", 9}, {"c", 9}};
+  std::set<std::string> m_Silent;
+  std::function<void(const CallGroup &)> m_OnCall;
+  uint64_t m_LostCommits = 0;
+
+private:
+  static std::string zoneOf(const std::string &Name) {
+    return Name == "a" ? "z1" : Name == "b" ? "z2" : "z3";
+  }
+  void checkInAll() {
+    ++m_Sequence;
+    uint16_t Port = 0;
+    for (const char *Name : {"a", "b", "c"}) {
+      ++Port;
+      if (m_Silent.contains(Name))
+        continue;
+      InstanceCheckIn CheckIn;
+      CheckIn.m_Instance.m_Name = InstanceName{Name};
+      CheckIn.m_Instance.m_Database = kGroup;
+      CheckIn.m_Instance.m_Zone = {zoneOf(Name)};
+      CheckIn.m_Instance.m_StatementEndpoint = {"127.0.0.1", Port};
+      CheckIn.m_Instance.m_IsPrimary = m_Primary == Name;
+      CheckIn.m_Instance.m_StartedAtMs = 1'000;
+      CheckIn.m_Sequence = m_Sequence;
+      m_Sim.handle(leader(), InstanceCheckedIn{nextOperation(), CheckIn});
+    }
+  }
+  std::optional<GroupCallAnswered> answer(const CallGroup &Call) {
+    if (m_OnCall)
+      m_OnCall(Call);
+    std::string Name = Call.m_Instance.m_Name.m_Value;
+    GroupCallAnswered Answer;
+    if (m_Silent.contains(Name))
+      return Answer;
+    Answer.m_Outcome = GroupCallOutcome::Done;
+    Answer.m_Term = 3;
+    Answer.m_Received = {3, m_Received.at(Name)};
+    if (Call.m_Kind == GroupCallKind::DemotePrimary && m_Primary == Name)
+      m_Primary.clear();
+    if (Call.m_Kind == GroupCallKind::Promote) {
+      uint64_t Acknowledged = m_Received.at("a");
+      m_LostCommits +=
+          Acknowledged - std::min(Acknowledged, m_Received.at(Name));
+      m_Primary = Name;
+    }
+    return Answer;
+  }
+  OperationId nextOperation() {
+    return OperationId{10'000 + ++m_LastOperation};
+  }
+
+  uint64_t m_Sequence = 0;
+  uint64_t m_LastOperation = 0;
+};
+
+} // namespace
+
+TEST_CASE("evacuation: orders repeat without effect, unknown zones and the "
+          "last zone are refused, and the later of opposite orders counts") {
+  Fleet Test;
+  CHECK(Test.order({"nowhere"}, true).m_Error->m_Kind == ErrorKind::NotFound);
+  CHECK(Test.isAccepted({"z2"}, true));
+  CHECK(Test.isAccepted({"z2"}, true));
+  CHECK(Test.isAccepted({"z3"}, true));
+  CHECK(Test.order({"z1"}, true).m_Error->m_Kind == ErrorKind::BadRequest);
+  CHECK(Test.isAccepted({"z3"}, false));
+  CHECK(Test.isAccepted({"z3"}, false));
+  for (size_t Index = 0; Index < 3; ++Index)
+    CHECK(Test.m_Sim.board(Index).configuration().evacuatedZones() ==
+          std::set<AvailabilityZone>{{"z2"}});
+}
+
+// Guards against an acknowledged evacuation that is forgotten: instances that
+// are about to lose power would be used again.
+TEST_CASE("evacuation: an accepted order survives the restart of all control "
+          "hosts and a lost disk") {
+  Fleet Test;
+  REQUIRE(Test.isAccepted({"z2"}, true));
+  for (size_t Index = 0; Index < 3; ++Index)
+    Test.m_Sim.stop(Index);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Test.m_Sim.start(Index);
+  REQUIRE(Test.m_Sim.awaitVoters(3));
+  size_t Lost = (Test.leader() + 1) % 3;
+  Test.m_Sim.stopAndWipe(Lost);
+  Test.m_Sim.start(Lost);
+  REQUIRE(Test.m_Sim.awaitVoters(3));
+  for (size_t Index = 0; Index < 3; ++Index)
+    CHECK(Test.m_Sim.board(Index).configuration().isEvacuated({"z2"}));
+}
+
+// Guards against losing the commits that a primary acknowledged just before it
+// was replaced: replicas are some milliseconds behind.
+TEST_CASE("evacuation: the primary of the zone is demoted first, and a replica "
+          "is promoted once it holds all commits") {
+  Fleet Test;
+  Test.m_Received = {{"a", 20}, {"b", 12}, {"c", 9}};
+  Test.m_OnCall = [&](const CallGroup &Call) {
+    // The last commits arrive after the third reading of positions.
+    if (Call.m_Kind == GroupCallKind::ReadPosition &&
+        Test.countCalls(GroupCallKind::ReadPosition, "b") >= 3)
+      Test.m_Received["b"] = 20;
+  };
+  REQUIRE(Test.isAccepted(kZoneOfPrimary, true));
+  Time OrderedAt = Test.m_Sim.m_Now;
+  REQUIRE(Test.m_Sim.runUntil([&] { return Test.m_Primary == "b"; }));
+  CHECK(Test.m_Sim.m_Now - OrderedAt < std::chrono::seconds(2));
+  CHECK(Test.countCalls(GroupCallKind::DemotePrimary, "a") == 1);
+  CHECK(Test.m_LostCommits == 0);
+  Test.run(std::chrono::seconds(5));
+  CHECK(Test.m_Primary == "b");
+  CHECK(Test.countCalls(GroupCallKind::Promote, "b") == 1);
+}
+
+TEST_CASE("evacuation: a replica that stays behind does not hold the group "
+          "without a primary for ever") {
+  Fleet Test;
+  Test.m_Received = {{"a", 20}, {"b", 12}, {"c", 9}};
+  REQUIRE(Test.isAccepted(kZoneOfPrimary, true));
+  REQUIRE(Test.m_Sim.runUntil([&] { return Test.m_Primary == "b"; }));
+  CHECK(Test.m_LostCommits == 8);
+}
+
+TEST_CASE("evacuation: a primary that does not answer its demotion is replaced "
+          "all the same") {
+  Fleet Test;
+  Test.m_Silent = {"a"};
+  REQUIRE(Test.isAccepted(kZoneOfPrimary, true));
+  REQUIRE(Test.m_Sim.runUntil([&] {
+    return Test.countCalls(GroupCallKind::Promote, "b") +
+               Test.countCalls(GroupCallKind::Promote, "c") ==
+           1;
+  }));
+}
+
+// Guards against a failover into a zone that is about to lose power.
+TEST_CASE("evacuation: no instance of an evacuated zone is promoted, failovers "
+          "included") {
+  Fleet Test;
+  REQUIRE(Test.isAccepted({"z2"}, true));
+  REQUIRE(Test.isAccepted({"z3"}, true));
+  for (const char *Host : {"h1", "h2", "h3"})
+    Test.m_Sim.m_Hosts[HostName{Host}].m_Reports = {
+        InstanceReport{kGroup, InstanceName{"a"}, 600, {}, 0, false}};
+  Test.m_Silent = {"a"};
+  Test.run(std::chrono::seconds(8));
+  CHECK(Test.countCalls(GroupCallKind::Promote, "b") == 0);
+  CHECK(Test.countCalls(GroupCallKind::Promote, "c") == 0);
+  REQUIRE(Test.isAccepted({"z3"}, false));
+  Test.run(std::chrono::seconds(3));
+  CHECK(Test.countCalls(GroupCallKind::Promote, "c") >= 1);
+  CHECK(Test.countCalls(GroupCallKind::Promote, "b") == 0);
+}
+
+// Guards against a group that stays without a primary when the leader is lost
+// between the demotion and the promotion.
+TEST_CASE("evacuation: the next leader finishes a move that was begun") {
+  Fleet Test;
+  Test.m_Received = {{"a", 20}, {"b", 20}, {"c", 9}};
+  std::optional<size_t> Stopped;
+  Test.m_OnCall = [&](const CallGroup &Call) {
+    if (Call.m_Kind == GroupCallKind::DemotePrimary && !Stopped)
+      Stopped = Test.leader();
+  };
+  REQUIRE(Test.isAccepted(kZoneOfPrimary, true));
+  REQUIRE(Test.m_Sim.runUntil([&] { return Stopped.has_value(); }));
+  Test.m_Sim.stop(*Stopped);
+  for (int Step = 0; Step < 100 && Test.m_Primary != "b"; ++Step)
+    Test.run(milliseconds(100));
+  CHECK(Test.m_Primary == "b");
+  CHECK(Test.m_LostCommits == 0);
+}
--- a/tests/control/OperationsTest.cpp
+++ b/tests/control/OperationsTest.cpp
@@ -125,3 +125,20 @@
   CHECK((Test.run({"keys", "list"}) == OperationsExit::Refused));
   CHECK(Test.m_Errors.find("operator key") != std::string::npos);
 }
+
+TEST_CASE("control: the command line evacuates, restores and lists zones, and "
+          "the audit trail shows who did it") {
+  Fixture Test;
+  RunningControl Control(Test.m_Settings);
+  CHECK(
+      (Test.run({"zones", "evacuate", "nowhere"}) == OperationsExit::Refused));
+  CHECK(Test.m_Errors.find("no host or instance is in the zone") !=
+        std::string::npos);
+  CHECK((Test.run({"zones", "evacuate"}) == OperationsExit::Usage));
+  CHECK((Test.run({"zones", "restore", "nowhere"}) == OperationsExit::Done));
+  CHECK((Test.run({"zones", "list"}) == OperationsExit::Done));
+  CHECK(Test.m_Output.find("evacuated") != std::string::npos);
+  CHECK((Test.run({"audit"}) == OperationsExit::Done));
+  CHECK(Test.m_Output.find("restore zone nowhere") != std::string::npos);
+  CHECK(Test.m_Output.find("ann") != std::string::npos);
+}
--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -322,6 +322,18 @@
     return digestOfKey(keyOf(Organisation));
   }
 
+  /// Makes a member the primary of its group, as a promotion does.
+  void promote(size_t Group, size_t Member) {
+    for (size_t Index = 0; Index < kInstancesPerGroup; ++Index) {
+      Instance &Changed = instance(Group, Index);
+      Changed.m_IsPrimary = Index == Member;
+      Changed.m_Description.m_IsPrimary = Index == Member;
+    }
+    Instance &Promoted = instance(Group, Member);
+    ++Promoted.m_Position.m_Term;
+    publishDirectory();
+  }
+
   /// Installs a policy of the given version at the leader.
   void installPolicy(uint64_t Version) {
     handleControl(*m_Cluster.leader(),
@@ -350,6 +362,10 @@
   /// Hosts reach control hosts and instances, but not one another.
   bool m_IsPartitioned = false;
   std::vector<std::string> m_Decisions;
+  /// Called for each statement that reaches an instance: host, instance and
+  /// statement.
+  std::function<void(size_t, const Instance &, const Statement &)>
+      m_OnStatement;
   /// Hosts whose messages to FakeControl are lost.
   std::set<size_t> m_CutFromControl;
   /// Hosts that get each reply of FakeControl twice.
@@ -702,6 +718,8 @@
     Instance &Receiver = *m_Instances[Target];
     if (Receiver.m_CutHosts.contains(Index))
       return;
+    if (m_OnStatement)
+      m_OnStatement(Index, Receiver, Action.m_Statement);
     StatementKind Kind = Action.m_Statement.m_Kind;
     bool NeedsSlot =
         Kind == StatementKind::Read || Kind == StatementKind::Write ||
@@ -731,11 +749,13 @@
   }
   void replicate(size_t Primary) {
     Position Written = m_Instances[Primary]->m_Position;
-    for (size_t Member = 1; Member < kInstancesPerGroup; ++Member)
-      schedule(m_Shape.m_ReplicaLag, [this, Primary, Member, Written] {
-        Instance &Replica = *m_Instances[Primary + Member];
-        Replica.m_Position = std::max(Replica.m_Position, Written);
-      });
+    size_t First = Primary - Primary % kInstancesPerGroup;
+    for (size_t Member = First; Member < First + kInstancesPerGroup; ++Member)
+      if (Member != Primary)
+        schedule(m_Shape.m_ReplicaLag, [this, Member, Written] {
+          Instance &Replica = *m_Instances[Member];
+          Replica.m_Position = std::max(Replica.m_Position, Written);
+        });
   }
   static StatementReply replyOf(Instance &Receiver, Connection &Used,
                                 const SendToInstance &Action, bool IsFull) {
