Raise the load of an instance that has started or recovered step by step

Our operators' wish: such an instance is either flooded or left idle too long. Cause: each host began with four statements at once at an instance that it did not know, and sent all that was queued to one that answered again. The owner starts with one statement at a time and finds the pace from the answers.

--- a/src/decision/session/GroupTracker.cpp
+++ b/src/decision/session/GroupTracker.cpp
@@ -158,6 +158,8 @@
 }
 
 void GroupTracker::onInputReceived(const InstanceName &Name, Time Now) {
+  if (isLost(Name, Now))
+    beginRamp(Name, "is back", Now);
   InstanceHealth &Health = m_Instances[Name];
   Health.m_LastInputAt = Now;
   Health.m_UnreachableSince.reset();
@@ -166,6 +168,7 @@
 
 void GroupTracker::onOverloaded(const InstanceName &Name, Time Now) {
   InstanceHealth &Health = m_Instances[Name];
+  Health.m_Pace.onFailed(Now);
   // Rejections of statements that were in flight together count once.
   if (Now < Health.m_BackoffUntil)
     return;
@@ -209,7 +212,52 @@
           Now - *Health.m_SilentSince >= kSilenceThreshold);
 }
 
-void GroupTracker::recordLatency(const InstanceName &Name, Duration Latency) {
+void GroupTracker::beginRamp(const InstanceName &Name, const char *Reason,
+                             Time Now) {
+  m_Instances[Name].m_Pace.begin(Now);
+  m_PaceReports.push_back("instance " + Name.m_Value + " " + Reason +
+                          "; its load is raised from one statement at a time");
+}
+
+void GroupTracker::detectStarts(Time Now) {
+  for (const InstanceDescription &Entry : m_Board.m_Directory.m_Instances) {
+    auto [Known, IsNew] = m_Instances.try_emplace(Entry.m_Name);
+    InstanceHealth &Health = Known->second;
+    bool HasRestarted = Health.m_StartedAtMs != Entry.m_StartedAtMs;
+    bool IsPromoted = Entry.m_IsPrimary && !Health.m_IsPrimary;
+    Health.m_StartedAtMs = Entry.m_StartedAtMs;
+    Health.m_IsPrimary = Entry.m_IsPrimary;
+    // A host that has just started knows nothing about any instance.
+    if (m_HasDirectory && (IsNew || HasRestarted || IsPromoted))
+      beginRamp(Entry.m_Name,
+                IsNew          ? "is new"
+                : HasRestarted ? "has restarted"
+                               : "is promoted",
+                Now);
+  }
+  m_HasDirectory = m_HasDirectory || !m_Board.m_Directory.m_Instances.empty();
+}
+
+double
+GroupTracker::referenceLatencyMs(const InstanceDescription &Instance) const {
+  double Highest = 0;
+  for (const InstanceDescription *Other : membersOf(Instance.m_Database)) {
+    auto Health = m_Instances.find(Other->m_Name);
+    if (Other->m_Name != Instance.m_Name && Health != m_Instances.end() &&
+        !Health->second.m_Pace.isRamping())
+      Highest = std::max(Highest, Health->second.m_LatencyMs);
+  }
+  return Highest;
+}
+
+size_t GroupTracker::rampingCount() const {
+  return static_cast<size_t>(std::count_if(
+      m_Instances.begin(), m_Instances.end(),
+      [](const auto &Entry) { return Entry.second.m_Pace.isRamping(); }));
+}
+
+void GroupTracker::recordLatency(const InstanceName &Name, Duration Latency,
+                                 Time Now) {
   InstanceHealth &Health = m_Instances[Name];
   double Ms =
       static_cast<double>(Latency.count()) / kMicrosecondsPerMillisecond;
@@ -218,6 +266,10 @@
           ? Ms
           : (1 - kLatencySmoothingFactor) * Health.m_LatencyMs +
                 kLatencySmoothingFactor * Ms;
+  const InstanceDescription *Instance = find(Name);
+  if (Health.m_Pace.isRamping() && Instance != nullptr)
+    Health.m_Pace.onAnswered(Ms, referenceLatencyMs(*Instance),
+                             Instance->m_Slots, Now);
 }
 
 void GroupTracker::onDirectoryChanged(Time Now) {
@@ -228,6 +280,7 @@
   std::erase_if(m_Instances, [&](const auto &Entry) {
     return find(Entry.first) == nullptr;
   });
+  detectStarts(Now);
   for (auto &[Database, Group] : m_Groups) {
     if (!Group.m_Primary)
       continue;
--- a/src/decision/session/GroupTracker.h
+++ b/src/decision/session/GroupTracker.h
@@ -4,9 +4,11 @@
 /// of the instances.
 #pragma once
 
+#include "decision/session/InstancePace.h"
 #include "decision/session/SessionEvents.h"
 
 #include <deque>
+#include <utility>
 
 namespace almondpier {
 
@@ -43,6 +45,11 @@
   /// Exponential moving average of the statement latency, in milliseconds; 0
   /// when no statement has completed.
   double m_LatencyMs = 0;
+  /// Limits the load while the instance is new, back or promoted.
+  InstancePace m_Pace;
+  /// Start time and role that the directory gave last.
+  uint64_t m_StartedAtMs = 0;
+  bool m_IsPrimary = false;
 };
 
 /// A log position of the primary at a point in time.
@@ -97,7 +104,17 @@
   /// Returns whether the instance has been unreachable or silent for so long
   /// that new statements must not be sent to it.
   bool isLost(const InstanceName &Name, Time Now) const;
-  void recordLatency(const InstanceName &Name, Duration Latency);
+  /// An instance answered a statement after Latency.
+  void recordLatency(const InstanceName &Name, Duration Latency, Time Now);
+  /// The instance executed a statement and reported a failure.
+  void onStatementFailed(const InstanceName &Name, Time Now) {
+    m_Instances[Name].m_Pace.onFailed(Now);
+  }
+  /// Descriptions of the ramps that began since the last call, for the log.
+  std::vector<std::string> takePaceReports() {
+    return std::exchange(m_PaceReports, {});
+  }
+  size_t rampingCount() const;
   /// Removes instances that left the directory, and switches to an instance
   /// that newly claims to be primary.
   void onDirectoryChanged(Time Now);
@@ -110,6 +127,13 @@
 private:
   std::vector<const InstanceDescription *>
   membersOf(const DatabaseName &Database) const;
+  void beginRamp(const InstanceName &Name, const char *Reason, Time Now);
+  /// Begins a ramp for each instance that the directory shows as new, restarted
+  /// or promoted.
+  void detectStarts(Time Now);
+  /// Highest latency of the other instances of the group, in milliseconds; 0
+  /// when none is known.
+  double referenceLatencyMs(const InstanceDescription &Instance) const;
 
   struct Group {
     std::optional<InstanceName> m_Primary;
@@ -124,6 +148,8 @@
   std::map<DatabaseName, std::vector<size_t>> m_Members;
   std::map<DatabaseName, Group> m_Groups;
   std::map<InstanceName, InstanceHealth> m_Instances;
+  std::vector<std::string> m_PaceReports;
+  bool m_HasDirectory = false;
 };
 
 } // namespace almondpier
--- a/src/decision/session/InstanceSelector.cpp
+++ b/src/decision/session/InstanceSelector.cpp
@@ -77,6 +77,7 @@
   // A single statement probes whether an unreachable instance is available
   // again.
   double Allowed = Health.m_UnreachableSince ? 1 : Health.m_ConcurrencyLimit;
+  Allowed = std::min(Allowed, Health.m_Pace.limit());
   if (!m_Board.m_OwnedGroups.contains(Instance.m_Database))
     return Allowed;
   // Statements beyond the slots wait here, where the best instance and the
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -455,6 +455,8 @@
   if (Error == SessionError::Busy) {
     ++m_OverloadRejections;
     m_Tracker.onOverloaded(Connection.m_Instance, Now);
+  } else if (Error == SessionError::Failed) {
+    m_Tracker.onStatementFailed(Connection.m_Instance, Now);
   } else if (Error == SessionError::ReadOnly) {
     m_Tracker.onNotPrimary(Connection.m_Instance, Now);
   } else if (Error == SessionError::Lagging) {
@@ -516,7 +518,8 @@
     return onUnclaimedReply(*Connection, IsRefused, Now);
   CallerSession &Session = Found->second;
   if (State == ConnectionState::Executing) {
-    m_Tracker.recordLatency(Connection->m_Instance, Now - Connection->m_SentAt);
+    m_Tracker.recordLatency(Connection->m_Instance, Now - Connection->m_SentAt,
+                            Now);
     return onStatementReplied(Session, *Connection, Reply, Now);
   }
   if (State == ConnectionState::Beginning)
@@ -884,6 +887,8 @@
 void StatementExecutor::tick(Time Now) {
   closeUnresponsive(Now);
   leaveClosedZones(Now);
+  for (std::string &Report : m_Tracker.takePaceReports())
+    m_Actions.push_back(ReportDecision{std::move(Report), false});
   if (Now - m_ExcessClosedAt >= kCloseExcessInterval) {
     m_ExcessClosedAt = Now;
     m_Pool.closeExcess(Now);
@@ -918,6 +923,9 @@
       {"almondpier_overload_rejections_total",
        "Statements that instances rejected as overloaded",
        static_cast<double>(m_OverloadRejections)},
+      {"almondpier_instances_ramping",
+       "Instances whose load is being raised after a start or a return",
+       static_cast<double>(m_Tracker.rampingCount())},
       {"almondpier_queue_rejections_total",
        "Statements rejected on arrival because of the queue before them",
        static_cast<double>(m_QueueRejections)},
