Close the gaps that a review of the evacuation found

Change: the grace time counts from the last proof of a configuration without the order, so it can be the evacuation limit less 500 ms; each step before a statement checks the zone; replicas that may not be promoted are still read, sealed and counted.

--- a/src/decision/HostRanking.cpp
+++ b/src/decision/HostRanking.cpp
@@ -4,7 +4,7 @@
 
 namespace almondpier {
 
-static uint64_t hashOf(std::string_view Text) {
+uint64_t hashOfName(std::string_view Text) {
   // FNV-1a, followed by the SplitMix64 finalizer so that similar names differ
   // in all bits.
   constexpr uint64_t kOffset = 0xcbf29ce484222325U;
@@ -21,8 +21,8 @@
   return Value ^ (Value >> 31U);
 }
 
-uint64_t rendezvousHash(const DatabaseName &Database, const HostName &Host) {
-  return mix(mix(hashOf(Database.m_Value)) + hashOf(Host.m_Value));
+uint64_t rendezvousHash(uint64_t DatabaseHash, uint64_t HostHash) {
+  return mix(mix(DatabaseHash) + HostHash);
 }
 
 std::vector<RankedHost> candidateHosts(const Configuration &Configuration,
@@ -72,10 +72,12 @@
 std::vector<HostName> rankHosts(const DatabaseName &Database,
                                 const std::vector<RankedHost> &Hosts,
                                 size_t Count) {
+  uint64_t DatabaseHash = hashOfName(Database.m_Value);
   std::vector<Score> Scores;
   Scores.reserve(Hosts.size());
   for (const RankedHost &Host : Hosts)
-    Scores.push_back(Score{rendezvousHash(Database, Host.m_Name), &Host});
+    Scores.push_back(Score{
+        rendezvousHash(DatabaseHash, hashOfName(Host.m_Name.m_Value)), &Host});
   Count = std::min(Count, Scores.size());
   size_t Observers = std::min(kObserverCount, Count);
   for (size_t Chosen = 0; Chosen < Observers; ++Chosen)
--- a/src/decision/HostRanking.h
+++ b/src/decision/HostRanking.h
@@ -19,9 +19,11 @@
   friend auto operator<=>(const RankedHost &, const RankedHost &) = default;
 };
 
-/// Returns the hash by which hosts are ranked for a database: uniformly
-/// distributed, and the same on every host.
-uint64_t rendezvousHash(const DatabaseName &Database, const HostName &Host);
+/// Returns the hash of a name, the same on every host.
+uint64_t hashOfName(std::string_view Name);
+/// Returns the hash by which hosts are ranked for a database, from the hashes
+/// of their names: uniformly distributed, and the same on every host.
+uint64_t rendezvousHash(uint64_t DatabaseHash, uint64_t HostHash);
 
 /// Returns the hosts that can own and observe databases: live, ready and
 /// registered.
--- a/src/decision/control/ControlBlackboard.cpp
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -21,6 +21,9 @@
 }
 
 bool ControlBlackboard::canExtendConfiguration() const {
+  // The log holds such entries already.
+  if (!configuration().extension().empty())
+    return true;
   auto AppliesExtension = [&](const ControlMember &Member) {
     return Member.m_Id == m_Self.m_Id ||
            m_ExtensionMembers.contains(Member.m_Id);
--- a/src/decision/control/FeedController.cpp
+++ b/src/decision/control/FeedController.cpp
@@ -17,14 +17,11 @@
          Poll.m_LiveHostsVersion == kReadsConfigurationExtension;
 }
 
-/// Returns whether the sender of a poll needs a change and can decode it. Hosts
-/// that route by the list of live hosts use no capacities.
-bool isChangeFor(const PollRequest &Poll, const Change &Accepted) {
-  if (std::holds_alternative<SetHostCapacity>(Accepted.m_Body))
-    return readsExtension(Poll);
-  if (std::holds_alternative<EvacuateZone>(Accepted.m_Body))
-    return Poll.m_WantsLiveHosts || readsExtension(Poll);
-  return true;
+/// Returns whether a change is one that builds before the
+/// ConfigurationExtension cannot decode.
+bool isExtensionChange(const Change &Accepted) {
+  return std::holds_alternative<SetHostCapacity>(Accepted.m_Body) ||
+         std::holds_alternative<EvacuateZone>(Accepted.m_Body);
 }
 
 /// One round serves all polls that arrived since the last one began.
@@ -273,11 +270,16 @@
       return false;
   }
   for (; First != m_Changes.end(); ++First) {
+    // Hosts that route by the list of live hosts see an evacuation as drained
+    // instances, which a snapshot shows in the format of every build.
+    if (Poll.m_WantsLiveHosts &&
+        std::holds_alternative<EvacuateZone>(First->m_Change.m_Body))
+      return false;
     bool IsAmendment =
         std::holds_alternative<AmendPolicy>(First->m_Change.m_Body);
     if (IsAmendment && !AppliesAmendments)
       NeedsWholePolicy = true;
-    else if (isChangeFor(Poll, First->m_Change))
+    else if (readsExtension(Poll) || !isExtensionChange(First->m_Change))
       Reply.m_Changes.push_back(First->m_Change);
   }
   if (!NeedsWholePolicy)
--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -38,6 +38,8 @@
 constexpr Duration kCatchUpLimit = milliseconds(2'000);
 /// Interval at which their positions are read.
 constexpr Duration kCatchUpInterval = milliseconds(30);
+/// An overloaded primary may refuse the call.
+constexpr size_t kMaxDemotionCalls = 3;
 constexpr Duration kRetryDelay = milliseconds(300);
 /// How long a candidate that refused is excluded, and a group is not monitored
 /// after a completed promotion.
@@ -63,6 +65,7 @@
   Group.m_Chosen.reset();
   Group.m_Leaving.reset();
   Group.m_LastPosition.reset();
+  Group.m_DemotionCalls = 0;
 }
 
 bool PromotionController::isUsable(const InstanceDescription &Instance) const {
@@ -120,7 +123,7 @@
       startAttempt(Group, Name, Members, *Reason, Context);
     return;
   case Step::ReadPositions:
-    return chooseCandidate(Group, Name, Group.m_Candidates.size(), Context);
+    return chooseCandidate(Group, Name, Context);
   case Step::Demote:
   case Step::Promote:
     return;
@@ -255,7 +258,7 @@
   });
   Group.m_Candidates.clear();
   for (const InstanceDescription *Member : Members)
-    if (!Member->m_IsPrimary && isUsable(*Member))
+    if (!Member->m_IsPrimary && Member->m_State == InstanceState::Ready)
       Group.m_Candidates[Member->m_Name] = Candidate{*Member, {}, 0, false};
   Group.m_Reason = Reason;
   Group.m_StartedAt = Context.m_Now;
@@ -300,53 +303,78 @@
   }
 }
 
+const PromotionController::Candidate *
+PromotionController::mostAdvanced(const Group &Group) const {
+  const Candidate *Best = nullptr;
+  for (const auto &[Member, Candidate] : Group.m_Candidates) {
+    if (!Candidate.m_ReceivedPosition || !isUsable(Candidate.m_Instance) ||
+        Group.m_ExcludedUntil.contains(Member))
+      continue;
+    if (Best == nullptr ||
+        *Best->m_ReceivedPosition < *Candidate.m_ReceivedPosition)
+      Best = &Candidate;
+  }
+  return Best;
+}
+
+size_t PromotionController::requiredAnswers(const Group &Group,
+                                            const DatabaseName &Name) const {
+  // The position of a demoted primary tells what was acknowledged.
+  uint32_t SyncReplicas = Group.m_Leaving ? 0 : syncReplicasOf(Name);
+  size_t Replicas = Group.m_Candidates.size();
+  if (SyncReplicas == 0)
+    return 1;
+  // An acknowledged commit is on at least SyncReplicas of the replicas, and
+  // therefore on at least one of any Replicas - SyncReplicas + 1 of them.
+  return Replicas >= SyncReplicas ? Replicas - SyncReplicas + 1 : Replicas;
+}
+
 void PromotionController::chooseCandidate(Group &Group,
                                           const DatabaseName &Name,
-                                          size_t Replicas,
                                           ControlContext &Context) {
-  uint32_t SyncReplicas = syncReplicasOf(Name);
   size_t Answered = 0;
   bool HasPendingCalls = false;
-  const Candidate *MostAdvanced = nullptr;
+  Position Highest;
   for (const auto &[Member, Candidate] : Group.m_Candidates) {
     HasPendingCalls = HasPendingCalls || Candidate.m_IsPending;
     Group.m_HighestTerm = std::max(Group.m_HighestTerm, Candidate.m_Term);
     if (!Candidate.m_ReceivedPosition)
       continue;
     ++Answered;
-    if (Group.m_ExcludedUntil.contains(Member))
-      continue;
-    if (MostAdvanced == nullptr ||
-        *MostAdvanced->m_ReceivedPosition < *Candidate.m_ReceivedPosition)
-      MostAdvanced = &Candidate;
+    Highest = std::max(Highest, *Candidate.m_ReceivedPosition);
   }
   bool IsTimedOut =
       Context.m_Now - Group.m_StepStartedAt >= kPositionCollectionTime;
   if (HasPendingCalls && !IsTimedOut)
     return;
-  if (SyncReplicas > 0 && !Group.m_IsSealing && !Group.m_Leaving &&
-      Group.m_HighestTerm > 0) {
+  bool IsSynchronous = syncReplicasOf(Name) > 0 && !Group.m_Leaving;
+  if (IsSynchronous && !Group.m_IsSealing && Group.m_HighestTerm > 0) {
     enterStep(Group, Step::ReadPositions, Context.m_Now);
     return readPositions(Group, Name, Context);
   }
-  // An acknowledged commit is on at least SyncReplicas of the replicas, and
-  // therefore on at least one of any Replicas - SyncReplicas + 1 of them.
-  size_t RequiredAnswers = SyncReplicas == 0 ? 1
-                           : Replicas >= SyncReplicas
-                               ? Replicas - SyncReplicas + 1
-                               : Replicas;
-  if (Answered < RequiredAnswers || MostAdvanced == nullptr) {
+  const Candidate *Best = mostAdvanced(Group);
+  size_t Required = requiredAnswers(Group, Name);
+  // A replica that may not be promoted can be the only one that holds an
+  // acknowledged commit; the others receive it when its zone is restored.
+  bool LacksCommits =
+      IsSynchronous && Best != nullptr && *Best->m_ReceivedPosition < Highest;
+  if (Answered < Required || Best == nullptr || LacksCommits) {
     Context.reportStateChange(
         "database " + Name.m_Value +
         ": failover postponed: " + std::to_string(Answered) + " of " +
-        std::to_string(Replicas) + " replicas reported a position, " +
-        std::to_string(RequiredAnswers) + " required");
+        std::to_string(Group.m_Candidates.size()) +
+        " replicas reported a position, " + std::to_string(Required) +
+        " required" +
+        (Best == nullptr ? "; none of them may be promoted"
+         : LacksCommits
+             ? "; only a replica in an evacuated zone holds all commits"
+             : ""));
     ++m_Abandoned;
     return endAttempt(Group, kRetryDelay, Context.m_Now);
   }
   if (Group.m_Leaving && !Group.m_LastPosition)
     return demote(Group, Name, Context);
-  Group.m_Chosen = MostAdvanced->m_Instance.m_Name;
+  Group.m_Chosen = Best->m_Instance.m_Name;
   enterStep(Group, Step::Promote, Context.m_Now);
   promote(Group, Name, Context);
 }
@@ -357,6 +385,7 @@
   Action.m_TimeoutMs = kPositionCallTimeoutMs;
   Action.m_SealTerm = Group.m_HighestTerm + kSealTermIncrement;
   enterStep(Group, Step::Demote, Context.m_Now);
+  ++Group.m_DemotionCalls;
   sendCall(Name, GroupCallKind::DemotePrimary, *Group.m_Leaving, Action,
            Context);
 }
@@ -372,6 +401,10 @@
                               std::to_string(Event.m_Received.m_Index));
     Group.m_LastPosition = Event.m_Received;
     enterStep(Group, Step::CatchUp, Context.m_Now);
+  } else if (Event.m_Outcome == GroupCallOutcome::Refused &&
+             Group.m_DemotionCalls < kMaxDemotionCalls) {
+    // The positions are read once more before the next call.
+    enterStep(Group, Step::ReadPositions, Context.m_Now);
   } else {
     // The promotion ends the leadership of a primary that cannot be demoted.
     Context.reportStateChange(Primary + " could not be demoted; it is replaced "
@@ -385,13 +418,9 @@
 
 void PromotionController::awaitCatchUp(Group &Group, const DatabaseName &Name,
                                        ControlContext &Context) {
-  bool HasCaughtUp = std::any_of(
-      Group.m_Candidates.begin(), Group.m_Candidates.end(),
-      [&](const auto &Entry) {
-        return Entry.second.m_ReceivedPosition &&
-               *Entry.second.m_ReceivedPosition >= *Group.m_LastPosition &&
-               !Group.m_ExcludedUntil.contains(Entry.first);
-      });
+  const Candidate *Best = mostAdvanced(Group);
+  bool HasCaughtUp =
+      Best != nullptr && *Best->m_ReceivedPosition >= *Group.m_LastPosition;
   bool IsTimedOut = Context.m_Now - Group.m_StepStartedAt >= kCatchUpLimit;
   if (HasCaughtUp || IsTimedOut) {
     if (!HasCaughtUp)
@@ -402,7 +431,7 @@
     // The positions are at hand, so the choice follows at once.
     for (auto &[Member, Candidate] : Group.m_Candidates)
       Candidate.m_IsPending = false;
-    return chooseCandidate(Group, Name, Group.m_Candidates.size(), Context);
+    return chooseCandidate(Group, Name, Context);
   }
   if (Context.m_Now - Group.m_PositionsReadAt < kCatchUpInterval)
     return;
--- a/src/decision/control/PromotionController.h
+++ b/src/decision/control/PromotionController.h
@@ -66,6 +66,7 @@
     /// Position of m_Leaving after its demotion.
     std::optional<Position> m_LastPosition;
     Time m_PositionsReadAt;
+    size_t m_DemotionCalls = 0;
     /// Replicas that refused a promotion, each excluded as a candidate until
     /// the given time.
     std::map<InstanceName, Time> m_ExcludedUntil;
@@ -107,6 +108,12 @@
   uint32_t syncReplicasOf(const DatabaseName &Name) const;
   /// Returns whether the instance may become primary.
   bool isUsable(const InstanceDescription &Instance) const;
+  /// Returns the candidate with the highest position of those that may be
+  /// promoted, or null.
+  const Candidate *mostAdvanced(const Group &Group) const;
+  /// Returns how many replicas must have reported their position, so that one
+  /// of them holds every acknowledged commit.
+  size_t requiredAnswers(const Group &Group, const DatabaseName &Name) const;
   void demote(Group &Group, const DatabaseName &Name, ControlContext &Context);
   void onDemoted(Group &Group, const DatabaseName &Name,
                  const GroupCallAnswered &Event, ControlContext &Context);
@@ -118,7 +125,7 @@
                     ControlContext &Context);
   void readPositions(Group &Group, const DatabaseName &Name,
                      ControlContext &Context);
-  void chooseCandidate(Group &Group, const DatabaseName &Name, size_t Replicas,
+  void chooseCandidate(Group &Group, const DatabaseName &Name,
                        ControlContext &Context);
   void promote(Group &Group, const DatabaseName &Name, ControlContext &Context);
   void awaitRole(Group &Group, const DatabaseName &Name, const Members &Members,
--- a/src/decision/session/GroupOwners.cpp
+++ b/src/decision/session/GroupOwners.cpp
@@ -27,6 +27,14 @@
 /// A loss this long after the one before counts as the first.
 constexpr Duration kProbationMemory = 2 * kMaxProbation;
 constexpr Duration kOwnedUpdateInterval = milliseconds(100);
+/// Capacities are recorded one by one when a fleet starts.
+constexpr Duration kRankInterval = milliseconds(1'000);
+/// Links to former candidates are kept for this time, which exceeds that of a
+/// statement and of most transactions.
+constexpr Duration kUnusedLinkRetention = milliseconds(30'000);
+/// With fewer connections to an instance, owners in several zones would exceed
+/// the limit, so the group has a single owner.
+constexpr uint32_t kMinConnectionsForZoneOwners = 16;
 
 } // namespace
 
@@ -58,7 +66,12 @@
     Group.m_Candidates.clear();
     Group.m_ZoneCandidates.clear();
     auto Found = Placed.find(Database);
-    if (Found == Placed.end()) {
+    bool HasZoneOwners =
+        Found != Placed.end() &&
+        m_Board.m_Configuration.policy()
+                .m_Groups.at(Database)
+                .m_ConnectionLimit >= kMinConnectionsForZoneOwners;
+    if (!HasZoneOwners) {
       Group.m_Candidates = rank(Database);
       continue;
     }
@@ -96,15 +109,13 @@
   });
   for (const DatabaseName &Database : Groups)
     m_Groups.try_emplace(Database);
-  if (InForce.hosts() != m_RankedHosts ||
-      InForce.hostCapacities() != m_RankedCapacities ||
-      Groups != m_RankedGroups) {
-    m_RankedHosts = InForce.hosts();
-    m_RankedCapacities = InForce.hostCapacities();
-    m_RankedGroups = std::move(Groups);
-    rankAll();
-    releaseUnusedLinks();
-  }
+  bool HasNewGroups = Groups != m_RankedGroups;
+  m_RankedGroups = std::move(Groups);
+  m_IsRankingDue = m_IsRankingDue || HasNewGroups ||
+                   InForce.hosts() != m_RankedHosts ||
+                   InForce.hostCapacities() != m_RankedCapacities;
+  if (HasNewGroups)
+    m_RankedAt = Time();
   updateInstanceZones();
   m_OwnedUpdatedAt = Time();
   tick(Now);
@@ -131,7 +142,8 @@
       std::binary_search(Zones.begin(), Zones.end(), m_Board.m_Zone))
     return m_Board.m_Zone;
   // The hosts of a zone without an instance of the group use one owner.
-  uint64_t Hash = rendezvousHash(Database, HostName{m_Board.m_Zone.m_Value});
+  uint64_t Hash = rendezvousHash(hashOfName(Database.m_Value),
+                                 hashOfName(m_Board.m_Zone.m_Value));
   return Zones[Hash % Zones.size()];
 }
 
@@ -281,7 +293,23 @@
     m_Board.m_OwnedGroups.insert(Database);
 }
 
+void GroupOwners::rankIfDue(Time Now) {
+  if (m_ReleaseLinksAt && Now >= *m_ReleaseLinksAt) {
+    m_ReleaseLinksAt.reset();
+    releaseUnusedLinks();
+  }
+  if (!m_IsRankingDue || Now - m_RankedAt < kRankInterval)
+    return;
+  m_IsRankingDue = false;
+  m_RankedAt = Now;
+  m_RankedHosts = m_Board.m_Configuration.hosts();
+  m_RankedCapacities = m_Board.m_Configuration.hostCapacities();
+  rankAll();
+  m_ReleaseLinksAt = Now + kUnusedLinkRetention;
+}
+
 void GroupOwners::tick(Time Now) {
+  rankIfDue(Now);
   if (Now - m_OwnedUpdatedAt < kOwnedUpdateInterval)
     return;
   m_OwnedUpdatedAt = Now;
--- a/src/decision/session/GroupOwners.h
+++ b/src/decision/session/GroupOwners.h
@@ -109,6 +109,8 @@
                               const Group &Group) const;
   std::vector<Owner> rank(const DatabaseName &Database) const;
   void rankAll();
+  /// Ranks again after a change, at most once a second.
+  void rankIfDue(Time Now);
   void updateInstanceZones();
   /// Closes the links to hosts that are no candidate of any group.
   void releaseUnusedLinks();
@@ -122,6 +124,9 @@
   std::map<HostName, HostRecord> m_RankedHosts;
   std::map<HostName, HostCapacity> m_RankedCapacities;
   std::vector<DatabaseName> m_RankedGroups;
+  bool m_IsRankingDue = false;
+  Time m_RankedAt;
+  std::optional<Time> m_ReleaseLinksAt;
   std::map<DatabaseName, Group> m_Groups;
   std::map<Endpoint, Peer> m_Peers;
   Time m_OwnedUpdatedAt;
--- a/src/decision/session/InstanceSelector.cpp
+++ b/src/decision/session/InstanceSelector.cpp
@@ -58,6 +58,8 @@
 
 void InstanceSelector::refreshSample(CallerSession &Session, Time Now) {
   PendingStatement &Pending = *Session.m_Pending;
+  if (std::exchange(Pending.m_RefreshesSample, false))
+    Pending.m_Target = StatementTarget::CaughtUp;
   const DatabaseName &Database = Session.m_Policy.m_Database;
   Duration MaxAge = milliseconds(Session.m_Policy.m_MaxReadAgeMs);
   if (Pending.m_Target != StatementTarget::CaughtUp ||
@@ -68,6 +70,7 @@
   if (Primary == nullptr || !hasCapacity(Session, *Primary, Now))
     return;
   m_Tracker.onSampleRequested(Database, Now);
+  Pending.m_RefreshesSample = true;
   Pending.m_Target = StatementTarget::ConfirmedPrimary;
 }
 
--- a/src/decision/session/InstanceSelector.h
+++ b/src/decision/session/InstanceSelector.h
@@ -23,9 +23,10 @@
       : m_Board(Board), m_Tracker(Tracker), m_Evacuated(Evacuated),
         m_Pool(Pool) {}
 
-  /// Turns a single read into one that the primary must confirm, if the known
-  /// position of the primary will soon be too old for reads at replicas. An
-  /// owner whose callers do not write learns positions in no other way.
+  /// Call before each attempt. Turns a single read into one that the primary
+  /// must confirm, if the known position of the primary will soon be too old
+  /// for reads at replicas. An owner whose callers do not write learns
+  /// positions in no other way.
   void refreshSample(CallerSession &Session, Time Now);
   InstanceRequirement requirementOf(const CallerSession &Session) const;
   /// Returns the instance with the lowest expected cost that has capacity for
--- a/src/decision/session/OwnerPlacement.cpp
+++ b/src/decision/session/OwnerPlacement.cpp
@@ -18,6 +18,7 @@
 
 struct Load {
   const PlacementHost *m_Host = nullptr;
+  uint64_t m_HostHash = 0;
   double m_Limit = 0;
   double m_Groups = 0;
 
@@ -27,20 +28,19 @@
 
 /// Returns the host that has most room for the group. Equal hosts are chosen by
 /// hash, so that groups spread over them.
-Load &leastLoaded(const DatabaseName &Group, std::vector<Load> &Loads) {
+Load &leastLoaded(uint64_t GroupHash, std::vector<Load> &Loads) {
   return *std::min_element(Loads.begin(), Loads.end(),
                            [&](const Load &Left, const Load &Right) {
                              if (Left.nextUse() != Right.nextUse())
                                return Left.nextUse() < Right.nextUse();
-                             return rendezvousHash(Group, Left.m_Host->m_Name) >
-                                    rendezvousHash(Group, Right.m_Host->m_Name);
+                             return rendezvousHash(GroupHash, Left.m_HostHash) >
+                                    rendezvousHash(GroupHash, Right.m_HostHash);
                            });
 }
 
 /// Returns Owner, followed by the hosts that take over when it is lost: those
 /// that can carry most, equal ones in the order of their hashes.
-std::vector<HostName> withSuccessors(const DatabaseName &Group,
-                                     const HostName &Owner,
+std::vector<HostName> withSuccessors(uint64_t GroupHash, const HostName &Owner,
                                      std::vector<Load> Loads) {
   std::erase_if(Loads, [&](const Load &Candidate) {
     return Candidate.m_Host->m_Name == Owner;
@@ -51,8 +51,8 @@
                     [&](const Load &Left, const Load &Right) {
                       if (Left.m_Limit != Right.m_Limit)
                         return Left.m_Limit > Right.m_Limit;
-                      return rendezvousHash(Group, Left.m_Host->m_Name) >
-                             rendezvousHash(Group, Right.m_Host->m_Name);
+                      return rendezvousHash(GroupHash, Left.m_HostHash) >
+                             rendezvousHash(GroupHash, Right.m_HostHash);
                     });
   std::vector<HostName> Result{Owner};
   for (size_t Index = 0; Index < Count; ++Index)
@@ -78,16 +78,18 @@
             const std::vector<PlacementHost> &Hosts) {
   std::map<AvailabilityZone, std::vector<Load>> Zones;
   for (const PlacementHost &Host : Hosts)
-    Zones[Host.m_Zone].push_back(
-        Load{&Host, statementsPerSecond(Host.m_Capacity), 0});
+    Zones[Host.m_Zone].push_back(Load{&Host, hashOfName(Host.m_Name.m_Value),
+                                      statementsPerSecond(Host.m_Capacity), 0});
   std::vector<DatabaseName> Ordered = Groups;
   std::sort(Ordered.begin(), Ordered.end());
   std::map<DatabaseName, ZoneCandidates> Result;
   for (auto &[Zone, Loads] : Zones)
     for (const DatabaseName &Group : Ordered) {
-      Load &Owner = leastLoaded(Group, Loads);
+      uint64_t GroupHash = hashOfName(Group.m_Value);
+      Load &Owner = leastLoaded(GroupHash, Loads);
       Owner.m_Groups += 1;
-      Result[Group][Zone] = withSuccessors(Group, Owner.m_Host->m_Name, Loads);
+      Result[Group][Zone] =
+          withSuccessors(GroupHash, Owner.m_Host->m_Name, Loads);
     }
   return Result;
 }
--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -51,6 +51,9 @@
   ReceivedStatement m_Received;
   Time m_Deadline;
   StatementTarget m_Target = StatementTarget::Primary;
+  /// m_Target was CaughtUp and is ConfirmedPrimary for this attempt, to learn
+  /// the position of the primary.
+  bool m_RefreshesSample = false;
   /// The statement runs outside a transaction.
   bool m_IsAutocommit = false;
   bool m_IsWaitingForToken = false;
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -19,9 +19,9 @@
   /// Time between the shutdown request and the forced termination of the
   /// process.
   Duration m_ShutdownGrace = std::chrono::milliseconds(6'000);
-  /// How long a primary in an evacuated zone serves after this host has learnt
-  /// of the evacuation.
-  Duration m_EvacuationGrace = std::chrono::milliseconds(1'500);
+  /// How long a primary in an evacuated zone serves, counted from the last
+  /// proof of a configuration without the evacuation.
+  Duration m_EvacuationGrace = std::chrono::milliseconds(4'500);
 
   /// Returns limits with which a revoked key stops working within
   /// RevocationLimit, an evacuated zone receives nothing after EvacuationLimit
@@ -34,11 +34,11 @@
     // A statement that was sent in time still has to arrive.
     constexpr Duration kTransitTime = std::chrono::milliseconds(500);
     SessionLimits Result;
-    Result.m_FreshnessLimit = RevocationLimit * 3 / kDivisor;
+    Result.m_FreshnessLimit =
+        std::min(RevocationLimit, EvacuationLimit) * 3 / kDivisor;
     Result.m_ShutdownGrace = Grace;
     Result.m_EvacuationGrace =
-        std::max(Duration::zero(),
-                 EvacuationLimit - Result.m_FreshnessLimit - kTransitTime);
+        std::max(Duration::zero(), EvacuationLimit - kTransitTime);
     return Result;
   }
 };
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -151,6 +151,7 @@
       m_ControlActions.push_back(
           ReportStateChange{"policy version " + std::to_string(After) +
                             " is in force after " + std::to_string(Before)});
+    m_Sessions.executor().onConfigurationProved(Now);
     if (!m_Configuration.takeChanged())
       return;
     m_Sessions.executor().onConfigurationChanged(Now);
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -346,8 +346,31 @@
   return false;
 }
 
+bool StatementExecutor::leaveClosedZone(CallerSession &Session,
+                                        InstanceConnection &Connection,
+                                        Time Now) {
+  const InstanceDescription *Instance = m_Tracker.find(Connection.m_Instance);
+  if (Instance == nullptr || !m_Evacuated.isClosed(Instance->m_Zone, Now))
+    return false;
+  InstanceName Name = Connection.m_Instance;
+  m_Pool.close(Connection.m_Id);
+  Session.m_PinnedConnection.reset();
+  bool CanRetry = Session.m_StatementsRun == 0 &&
+                  !endsTransaction(Session.m_Pending->m_Received.m_Statement);
+  if (CanRetry) {
+    retry(Session, Name, "is in an evacuated zone", SessionError::Busy, Now);
+    return true;
+  }
+  ++m_EvacuatedTransactions;
+  fail(Session, SessionError::Aborted,
+       Name.m_Value + " is in an evacuated zone");
+  return true;
+}
+
 void StatementExecutor::sendNext(CallerSession &Session,
                                  InstanceConnection &Connection, Time Now) {
+  if (leaveClosedZone(Session, Connection, Now))
+    return;
   if (!synchroniseConnection(Session, Connection, Now))
     return;
   InstanceRequirement Requirement = m_Selector.requirementOf(Session);
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -50,11 +50,10 @@
   void onRefused(const InstanceRefused &Event, Time Now);
   void onReplied(const InstanceReplied &Event, Time Now);
   void onClosed(ConnectionId Id, Time Now);
+  /// A control host proved what the configuration is.
+  void onConfigurationProved(Time Now) { m_Evacuated.update(Now); }
   /// The configuration or the directory changed.
-  void onConfigurationChanged(Time Now) {
-    m_Evacuated.update(Now);
-    m_Tracker.onDirectoryChanged(Now);
-  }
+  void onConfigurationChanged(Time Now) { m_Tracker.onDirectoryChanged(Now); }
   /// Dispatches the queued statements for which a connection has become
   /// available.
   void dispatchWaiting(Time Now);
@@ -96,6 +95,10 @@
   /// prepares the connection, a BEGIN, or the statement itself.
   void sendNext(CallerSession &Session, InstanceConnection &Connection,
                 Time Now);
+  /// Closes the connection if its zone is closed, and retries or fails the
+  /// pending statement, which was not sent. Returns whether it did so.
+  bool leaveClosedZone(CallerSession &Session, InstanceConnection &Connection,
+                       Time Now);
   bool synchroniseConnection(CallerSession &Session,
                              InstanceConnection &Connection, Time Now);
   void sendBegin(CallerSession &Session, InstanceConnection &Connection,
--- a/src/model/Configuration.cpp
+++ b/src/model/Configuration.cpp
@@ -159,6 +159,8 @@
       Database.m_Instances.insert_or_assign(Instance.m_Name, Instance);
     else
       Database.m_Spares.insert_or_assign(Instance.m_Name, Instance);
+    if (m_Target.isEvacuated(Instance.m_Zone))
+      Database.m_Draining.insert(Instance.m_Name);
   }
 
   void operator()(const BeginTerm &Body) {
@@ -234,6 +236,12 @@
       throw Error(ErrorKind::BadRequest,
                   "the name of a zone has 1 to 64 characters");
     std::set<AvailabilityZone> &Zones = m_Target.m_Extension.m_EvacuatedZones;
+    // Two orders that were accepted for proposal at the same time may leave no
+    // zone.
+    if (Body.m_IsEvacuated && isLastZone(Body.m_Zone))
+      throw Error(ErrorKind::BadRequest,
+                  "'" + Body.m_Zone.m_Value +
+                      "' is the last zone in use; restore another one first");
     bool HasChanged = Body.m_IsEvacuated ? Zones.insert(Body.m_Zone).second
                                          : Zones.erase(Body.m_Zone) > 0;
     if (HasChanged)
@@ -282,6 +290,16 @@
                       std::to_string(MinBurst));
   }
 
+  /// Returns whether all hosts that are not in evacuated zones are in Zone.
+  bool isLastZone(const AvailabilityZone &Zone) const {
+    return !m_Target.m_Hosts.empty() &&
+           std::all_of(m_Target.m_Hosts.begin(), m_Target.m_Hosts.end(),
+                       [&](const auto &Entry) {
+                         const AvailabilityZone &Other = Entry.second.m_Zone;
+                         return Other == Zone || m_Target.isEvacuated(Other);
+                       });
+  }
+
   /// Registered instances of an evacuated zone are drained, and ready again
   /// when it is restored.
   void setDraining(const AvailabilityZone &Zone, bool IsDraining) {
--- a/tests/model/ConfigurationExtensionTest.cpp
+++ b/tests/model/ConfigurationExtensionTest.cpp
@@ -15,6 +15,8 @@
 
 Configuration makeConfiguration() {
   Configuration Result;
+  REQUIRE(apply(Result, RegisterHost{{HostName{"h9"}, {"z9"}, {"10.0.0.9", 1}}})
+              .m_Accepted);
   REQUIRE(apply(Result, RegisterHost{{HostName{"h1"}, {"z1"}, {"10.0.0.1", 1}}})
               .m_Accepted);
   return Result;
@@ -44,6 +46,7 @@
   ControlState State;
   uint64_t Index = 0;
   for (const ChangeBody &Body : std::vector<ChangeBody>{
+           RegisterHost{{HostName{"h9"}, {"z9"}, {"10.0.0.9", 1}}},
            RegisterHost{{HostName{"h1"}, {"z1"}, {"10.0.0.1", 1}}}, Capacity,
            EvacuateZone{{"z1"}, true}}) {
     Change Proposed;
@@ -82,6 +85,8 @@
     CHECK(apply(Known, EvacuateZone{{"z1"}, false}).m_Accepted);
   CHECK(!Known.isEvacuated({"z1"}));
   CHECK(Known.version() == Version);
+  REQUIRE(apply(Known, EvacuateZone{{"z1"}, true}).m_Accepted);
+  CHECK(!apply(Known, EvacuateZone{{"z9"}, true}).m_Accepted);
   CHECK(!apply(Known, EvacuateZone{{""}, true}).m_Accepted);
   CHECK(!apply(Known, EvacuateZone{{std::string(65, 'z')}, true}).m_Accepted);
 }
