Let a data folder be loaded again after a failed write

Cause: after a failed write a data folder could only be left to the next process. The page cache can then hold a record whose sync had failed; load() trusted it, although a later sync does not write it, and a loss of power left a hole before acknowledged records.

--- a/include/almondpier/Storage.h
+++ b/include/almondpier/Storage.h
@@ -22,6 +22,14 @@
   using std::runtime_error::runtime_error;
 };
 
+/// Thrown when the disk is full or has an I/O error. Nothing is known to be
+/// damaged: the folder can be opened and loaded again, which fails in the same
+/// way until the disk accepts writes.
+class StorageUnavailable : public StorageError {
+public:
+  using StorageError::StorageError;
+};
+
 struct FolderIdentity {
   MemberId m_Member;
   uint64_t m_ClusterId = 0;
@@ -36,8 +44,9 @@
 };
 
 /// An open data folder. After a write has thrown, all further calls are
-/// refused, because it is unknown what reached the disk. The process must exit
-/// and load the folder again.
+/// refused, because it is unknown what reached the disk. The folder must be
+/// closed, opened and loaded again; after StorageUnavailable this process can
+/// do so.
 class DataFolder {
 public:
   /// Opens and locks a folder, and creates it when it does not exist. Throws
@@ -53,9 +62,9 @@
   /// StorageError when the folder is already initialised.
   void initialise(MemberId Member, uint64_t ClusterId,
                   const PersistedLog &Log = {});
-  /// Reads the log, truncates an incompletely written record at its end, and
-  /// increments the start count. Call it once, before any write. Throws
-  /// StorageError when the log is damaged anywhere else.
+  /// Reads the log, truncates an incompletely written record at its end, makes
+  /// the rest durable, and increments the start count. Call it once, before any
+  /// write. Throws StorageError when the log is damaged anywhere else.
   PersistedLog load();
   /// The identity read by load.
   const FolderIdentity &identity() const;
@@ -64,8 +73,10 @@
   /// fdatasync unless Output installs a snapshot.
   void persist(const ConsensusOutput &Output);
   /// Replaces the log up to Snapshot.m_Index with a snapshot of the local state
-  /// machine, taken after Consensus::compact.
-  void writeSnapshot(const Snapshot &Snapshot);
+  /// machine, taken after Consensus::compact. Returns false when there is no
+  /// room for it or the disk has an I/O error; the folder then keeps its old
+  /// snapshot and log, and stays usable.
+  [[nodiscard]] bool writeSnapshot(const Snapshot &Snapshot);
 
   /// Size of the log segments in bytes, for metrics and for deciding when to
   /// compact.
--- a/src/control/ControlStore.h
+++ b/src/control/ControlStore.h
@@ -32,9 +32,10 @@
                            const std::vector<ControlMember> &Founders);
   /// Returns once the change is synced to disk.
   void persist(PersistLog Change);
-  void persistSnapshot(const Snapshot &Snapshot) {
-    if (m_Folder)
-      m_Folder->writeSnapshot(Snapshot);
+  /// Returns false when the snapshot cannot be written; the log then stays as
+  /// it is.
+  bool persistSnapshot(const Snapshot &Snapshot) {
+    return !m_Folder || m_Folder->writeSnapshot(Snapshot);
   }
 
 private:
--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -66,7 +66,7 @@
   template <typename Function> void write(const Function &Write);
   PersistedLog replay(std::vector<Batch> &&Batches);
   void install(const Snapshot &Installed);
-  void saveSnapshot(const Snapshot &Saved);
+  std::string encodedSnapshot(const Snapshot &Saved) const;
 
   std::filesystem::path m_Folder;
   File m_Lock;
@@ -82,7 +82,7 @@
 
 DataFolder::State::State(const std::filesystem::path &Folder)
     : m_Folder(Folder) {
-  if (std::filesystem::create_directories(Folder))
+  if (createFolders(Folder))
     syncFolder(std::filesystem::absolute(Folder).parent_path());
   m_Lock = File(pathOf(kLockName), O_RDWR | O_CREAT);
   if (!m_Lock.tryLock())
@@ -127,7 +127,7 @@
   if (m_Failed || !m_Segments)
     throw StorageError(m_Folder.string() +
                        ": the folder is not loaded or an earlier write failed; "
-                       "restart the process");
+                       "open and load it again");
 }
 
 template <typename Function>
@@ -170,9 +170,9 @@
   return Log;
 }
 
-void DataFolder::State::saveSnapshot(const Snapshot &Saved) {
-  writeRecordFile(pathOf(kSnapshotName), m_Identity.m_Member,
-                  SnapshotFile{m_LastInstall, Saved});
+std::string DataFolder::State::encodedSnapshot(const Snapshot &Saved) const {
+  return encodeRecord({m_Identity.m_Member, 0}, 0,
+                      encodeValue(SnapshotFile{m_LastInstall, Saved}));
 }
 
 void DataFolder::State::install(const Snapshot &Installed) {
@@ -180,7 +180,7 @@
   // at no moment are old entries read on top of the new snapshot.
   m_Segments->append(Batch{m_HardState, ++m_HighestInstall, {}}, m_HardState);
   m_LastInstall = m_HighestInstall;
-  saveSnapshot(Installed);
+  replaceFile(pathOf(kSnapshotName), encodedSnapshot(Installed));
   m_Segments->deleteCovered(Installed.m_Index, m_HardState);
 }
 
@@ -222,10 +222,15 @@
   ++m_State->m_Identity.m_StartCount;
   LogSegments Segments(m_State->m_Folder, m_State->m_Identity.m_Member);
   PersistedLog Log = m_State->replay(Segments.load());
+  // The sync after the last rename may have failed.
+  syncFolder(m_State->m_Folder);
+  // On a full disk this can make the room for what follows.
+  Segments.deleteOldest(Log.m_Snapshot.m_Index);
+  // Written before the log, so that repeated attempts do not make it grow.
+  writeRecordFile(Path, MemberId{}, m_State->m_Identity);
   // The first record of the last segment may have been torn; older segments are
   // deleted only because a later one holds the hard state.
   Segments.append(Batch{Log.m_HardState, 0, {}}, Log.m_HardState);
-  writeRecordFile(Path, MemberId{}, m_State->m_Identity);
   m_State->m_Segments.emplace(std::move(Segments));
   return Log;
 }
@@ -250,11 +255,20 @@
   });
 }
 
-void DataFolder::writeSnapshot(const Snapshot &Snapshot) {
+bool DataFolder::writeSnapshot(const Snapshot &Snapshot) {
+  m_State->requireUsable();
+  std::filesystem::path Path = m_State->pathOf(kSnapshotName);
+  try {
+    writeTemporary(Path, m_State->encodedSnapshot(Snapshot));
+  } catch (const StorageUnavailable &) {
+    removeFile(temporaryOf(Path));
+    return false;
+  }
   m_State->write([&] {
-    m_State->saveSnapshot(Snapshot);
+    commitTemporary(Path);
     m_State->m_Segments->deleteCovered(Snapshot.m_Index, m_State->m_HardState);
   });
+  return true;
 }
 
 uint64_t DataFolder::logBytes() const {
--- a/src/storage/LogSegments.cpp
+++ b/src/storage/LogSegments.cpp
@@ -93,11 +93,13 @@
   m_Segments.push_back(Loaded);
   if (!IsLast)
     return;
+  // After a failed sync, the page cache can hold data that is not on disk and
+  // that no later sync writes.
+  File Rewritten(Path, O_WRONLY);
+  Rewritten.rewrite(std::string_view(Content).substr(0, Loaded.m_Bytes));
+  Rewritten.truncate(Loaded.m_Bytes);
+  Rewritten.sync();
   m_File = File(Path, O_WRONLY | O_APPEND);
-  if (Loaded.m_Bytes == Content.size())
-    return;
-  m_File.truncate(Loaded.m_Bytes);
-  m_File.sync();
 }
 
 void LogSegments::create(const HardState &Initial) { beginSegment(1, Initial); }
@@ -129,10 +131,15 @@
 void LogSegments::deleteCovered(uint64_t Index, const HardState &Current) {
   if (m_Segments.back().m_LastIndex > 0)
     beginSegment(m_Segments.back().m_Number + 1, Current);
+  deleteOldest(Index);
+}
+
+void LogSegments::deleteOldest(uint64_t Index) {
   // Only the oldest segments are deleted: a later one may replace entries of
-  // one that stays. The folder is synced for each, so that no crash leaves a
-  // gap.
-  while (m_Segments.size() > 1 && m_Segments.front().m_LastIndex <= Index) {
+  // one that stays, and has the hard state in its first record. The folder is
+  // synced for each, so that no crash leaves a gap.
+  while (m_Segments.size() > 1 && m_Segments[1].m_Bytes > 0 &&
+         m_Segments.front().m_LastIndex <= Index) {
     removeFile(pathOf(m_Segments.front().m_Number));
     syncFolder(m_Folder);
     m_Segments.erase(m_Segments.begin());
--- a/src/storage/LogSegments.h
+++ b/src/storage/LogSegments.h
@@ -13,7 +13,8 @@
   LogSegments(std::filesystem::path Folder, MemberId Member)
       : m_Folder(std::move(Folder)), m_Member(Member) {}
 
-  /// Reads all batches and removes a torn tail of the last segment.
+  /// Reads all batches, removes a torn tail of the last segment, and makes the
+  /// rest of it durable.
   std::vector<Batch> load();
   /// Creates the first segment of a new folder.
   void create(const HardState &Initial);
@@ -23,6 +24,9 @@
   /// Begins a new segment and deletes the oldest ones whose entries all have
   /// an index of at most Index.
   void deleteCovered(uint64_t Index, const HardState &Current);
+  /// Deletes the oldest segments whose entries all have an index of at most
+  /// Index; needs no space.
+  void deleteOldest(uint64_t Index);
   uint64_t bytes() const;
 
 private:
--- a/tests/storage/DataFolderTest.cpp
+++ b/tests/storage/DataFolderTest.cpp
@@ -205,7 +205,7 @@
     }
     CHECK(std::filesystem::exists(Path / kSecondSegment));
     Snapshot Early{1, 9, membershipOf({7}), "state"};
-    Folder.writeSnapshot(Early);
+    CHECK(Folder.writeSnapshot(Early));
     persistSnapshot(Log, Early);
     CHECK(std::filesystem::exists(Path / kFirstSegment));
   }
@@ -216,7 +216,7 @@
     uint64_t Before = Folder.logBytes();
     Snapshot Late{2, 20, membershipOf({7}), "state"};
     Folder.persist(entryOutput(2, 11, ""));
-    Folder.writeSnapshot(Late);
+    CHECK(Folder.writeSnapshot(Late));
     CHECK(!std::filesystem::exists(Path / kFirstSegment));
     CHECK(Folder.logBytes() < Before / 2);
     Log = PersistedLog{Log.m_HardState, Late, {}};
@@ -271,7 +271,7 @@
   {
     DataFolder Folder(Path);
     Folder.load();
-    Folder.writeSnapshot(Own);
+    CHECK(Folder.writeSnapshot(Own));
   }
   persistSnapshot(Log, Own);
   CHECK((reload(Path) == Log));
