Load a data folder on a full disk without making it fuller

Cause: each attempt to load a folder wrote its last segment again, and on a disk with little room added a record to the log before it failed. With room for a vote but not for an entry, a host would load, take part, and fail at its next write, again and again. The last segment is written again only when something is to be deleted or the identity could be written.

--- a/include/almondpier/Storage.h
+++ b/include/almondpier/Storage.h
@@ -65,7 +65,8 @@
   /// Reads the log, truncates an incompletely written record at its end, makes
   /// the rest durable, and increments the start count. Call it once, before any
   /// write. Throws StorageError when the log is damaged anywhere else.
-  PersistedLog load();
+  /// Throws StorageUnavailable when the disk has no room for another RoomBytes.
+  PersistedLog load(size_t RoomBytes = 0);
   /// The identity read by load.
   const FolderIdentity &identity() const;
 
--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -13,6 +13,7 @@
 constexpr const char *kIdentityName = "identity";
 constexpr const char *kSnapshotName = "snapshot";
 constexpr const char *kLockName = "lock";
+constexpr const char *kRoomName = "room";
 /// Present while initialise runs, so that a folder whose initialisation was
 /// interrupted is told from one that lost its identity.
 constexpr const char *kInitialisingName = "initialising";
@@ -62,6 +63,7 @@
   void removeLeftovers();
   void requireNoLog() const;
   void requireUsable() const;
+  void requireRoom(size_t Bytes) const;
   /// Runs a write; refuses all later ones when it throws.
   template <typename Function> void write(const Function &Write);
   PersistedLog replay(std::vector<Batch> &&Batches);
@@ -95,7 +97,7 @@
 }
 
 void DataFolder::State::removeLeftovers() {
-  for (const char *Name : {kIdentityName, kSnapshotName})
+  for (const char *Name : {kIdentityName, kSnapshotName, kRoomName})
     removeFile(temporaryOf(pathOf(Name)));
   if (!std::filesystem::exists(pathOf(kInitialisingName)))
     return;
@@ -130,6 +132,14 @@
                        "open and load it again");
 }
 
+void DataFolder::State::requireRoom(size_t Bytes) const {
+  if (Bytes == 0)
+    return;
+  std::filesystem::path Path = pathOf(kRoomName);
+  writeTemporary(Path, std::string(Bytes, '\0'));
+  removeFile(temporaryOf(Path));
+}
+
 template <typename Function>
 void DataFolder::State::write(const Function &Write) {
   requireUsable();
@@ -212,7 +222,7 @@
   syncFolder(m_State->m_Folder);
 }
 
-PersistedLog DataFolder::load() {
+PersistedLog DataFolder::load(size_t RoomBytes) {
   if (!isInitialised())
     throw StorageError(m_State->m_Folder.string() +
                        ": the folder is not initialised; bootstrap a cluster "
@@ -222,12 +232,18 @@
   ++m_State->m_Identity.m_StartCount;
   LogSegments Segments(m_State->m_Folder, m_State->m_Identity.m_Member);
   PersistedLog Log = m_State->replay(Segments.load());
-  // The sync after the last rename may have failed.
-  syncFolder(m_State->m_Folder);
-  // On a full disk this can make the room for what follows.
-  Segments.deleteOldest(Log.m_Snapshot.m_Index);
-  // Written before the log, so that repeated attempts do not make it grow.
+  if (Segments.isOldestCovered(Log.m_Snapshot.m_Index)) {
+    // On a full disk this makes room. The sync after the rename of the snapshot
+    // may have failed.
+    Segments.makeDurable();
+    syncFolder(m_State->m_Folder);
+    Segments.deleteOldest(Log.m_Snapshot.m_Index);
+  }
+  m_State->requireRoom(RoomBytes);
+  // Written before the log, so that repeated attempts on a full disk neither
+  // make the log grow nor write it again.
   writeRecordFile(Path, MemberId{}, m_State->m_Identity);
+  Segments.makeDurable();
   // The first record of the last segment may have been torn; older segments are
   // deleted only because a later one holds the hard state.
   Segments.append(Batch{Log.m_HardState, 0, {}}, Log.m_HardState);
--- a/src/storage/LogSegments.cpp
+++ b/src/storage/LogSegments.cpp
@@ -91,13 +91,17 @@
     Loaded.m_Bytes = Record.m_Next;
   }
   m_Segments.push_back(Loaded);
-  if (!IsLast)
-    return;
+}
+
+void LogSegments::makeDurable() {
   // After a failed sync, the page cache can hold data that is not on disk and
   // that no later sync writes.
+  std::filesystem::path Path = pathOf(m_Segments.back().m_Number);
+  std::string Content = readFile(Path);
+  Content.resize(m_Segments.back().m_Bytes);
   File Rewritten(Path, O_WRONLY);
-  Rewritten.rewrite(std::string_view(Content).substr(0, Loaded.m_Bytes));
-  Rewritten.truncate(Loaded.m_Bytes);
+  Rewritten.rewrite(Content);
+  Rewritten.truncate(Content.size());
   Rewritten.sync();
   m_File = File(Path, O_WRONLY | O_APPEND);
 }
@@ -134,12 +138,16 @@
   deleteOldest(Index);
 }
 
+bool LogSegments::isOldestCovered(uint64_t Index) const {
+  return m_Segments.size() > 1 && m_Segments[1].m_Bytes > 0 &&
+         m_Segments.front().m_LastIndex <= Index;
+}
+
 void LogSegments::deleteOldest(uint64_t Index) {
   // Only the oldest segments are deleted: a later one may replace entries of
   // one that stays, and has the hard state in its first record. The folder is
   // synced for each, so that no crash leaves a gap.
-  while (m_Segments.size() > 1 && m_Segments[1].m_Bytes > 0 &&
-         m_Segments.front().m_LastIndex <= Index) {
+  while (isOldestCovered(Index)) {
     removeFile(pathOf(m_Segments.front().m_Number));
     syncFolder(m_Folder);
     m_Segments.erase(m_Segments.begin());
--- a/src/storage/LogSegments.h
+++ b/src/storage/LogSegments.h
@@ -13,9 +13,11 @@
   LogSegments(std::filesystem::path Folder, MemberId Member)
       : m_Folder(std::move(Folder)), m_Member(Member) {}
 
-  /// Reads all batches, removes a torn tail of the last segment, and makes the
-  /// rest of it durable.
+  /// Reads all batches, without a torn tail of the last segment.
   std::vector<Batch> load();
+  /// Removes a torn tail of the last segment and makes the rest of it durable.
+  /// Must follow load before anything is appended or deleted; needs no space.
+  void makeDurable();
   /// Creates the first segment of a new folder.
   void create(const HardState &Initial);
   /// Appends one record and syncs it. Begins a new segment first when the last
@@ -24,6 +26,7 @@
   /// Begins a new segment and deletes the oldest ones whose entries all have
   /// an index of at most Index.
   void deleteCovered(uint64_t Index, const HardState &Current);
+  bool isOldestCovered(uint64_t Index) const;
   /// Deletes the oldest segments whose entries all have an index of at most
   /// Index; needs no space.
   void deleteOldest(uint64_t Index);
