Keep a control host up while its disk cannot be written

Cause: a failed write of the data folder ended the control host; the next start loaded the folder, which writes, and ended as well. A full disk so cost the host, its endpoints and its metrics, until someone restarted it after making room. On StorageUnavailable the host drops the rest of the batch of actions and the events that wait, closes the folder and all links, answers what was in progress with "outcome unknown", and restarts its core without storage: not ready, no consensus, every operation refused with "not ready", almondpier_control_storage_failed 1. Every 500 ms it opens and loads the folder again, and restarts the core from it once there is 1 MiB of room. A start on a full disk waits in the same way. Damage ends the process as before. Not tried: a disk that is really full, and a file system that loses pages after a failed sync; both are modelled.

--- a/include/almondpier/ControlHost.h
+++ b/include/almondpier/ControlHost.h
@@ -54,8 +54,9 @@
 
 class ControlHost {
 public:
-  /// Throws Error when the data folder cannot be used or an endpoint cannot be
-  /// bound.
+  /// Throws StorageError when the data folder cannot be used, and Error when an
+  /// endpoint cannot be bound. A full disk or one with I/O errors throws
+  /// nothing: the host is not ready until the data folder can be written.
   ControlHost(EventLoop &Loop, const ControlHostSettings &Settings);
   ~ControlHost();
   ControlHost(const ControlHost &) = delete;
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -19,6 +19,11 @@
 constexpr size_t kMaxPendingBytes = 16U << 20U;
 /// How long a shutdown waits for requests in progress.
 constexpr Duration kDrainTimeout = std::chrono::seconds(2);
+/// Room on a full disk is noticed within this time.
+constexpr Duration kStorageRetryInterval = std::chrono::milliseconds(500);
+/// Room that a disk that was full must have again. With less, the host would
+/// lead or follow until its next write, again and again.
+constexpr size_t kRecoveryRoomBytes = 1U << 20U;
 
 uint64_t wallTimeMs() {
   return static_cast<uint64_t>(
@@ -102,8 +107,14 @@
 struct ControlHost::State {
   EventLoop &m_Loop;
   ControlHostSettings m_Settings;
-  ControlStore m_Store;
+  /// Set while the data folder cannot be written.
+  std::optional<Time> m_StorageFailedAt;
+  Time m_RetryStorageAt;
+  /// Closed while the data folder cannot be written.
+  std::optional<ControlStore> m_Store;
   ControlCore m_Core;
+  /// Counts restarts of the core, which numbers its calls anew.
+  uint64_t m_CoreRestarts = 0;
   OperationsServer m_OperationsServer;
   InstanceClient m_InstanceClient;
   std::map<LinkId, std::unique_ptr<Link>> m_Links;
@@ -116,14 +127,14 @@
   Timer m_TickTimer;
   std::deque<ControlEvent> m_Events;
   bool m_IsHandlingEvents = false;
+  bool m_IsShutdownRequested = false;
   std::optional<Time> m_ShutdownDeadline;
   std::exception_ptr m_Failure;
   std::map<OperationId, OnReply> m_ReplyHandlers;
   uint64_t m_LastOperation = kFirstFrontendOperation;
 
   State(EventLoop &Loop, const ControlHostSettings &Settings)
-      : m_Loop(Loop), m_Settings(Settings), m_Store(Settings.m_DataFolder),
-        m_Core(coreOptions(), Loop.now()),
+      : m_Loop(Loop), m_Settings(Settings), m_Core(openStorage(), Loop.now()),
         m_OperationsServer(Loop, m_Settings, m_Core,
                            [this](const ControlEvent &Event) { post(Event); }),
         m_InstanceClient(Loop,
@@ -138,25 +149,97 @@
                     }),
         m_TickTimer(Loop, kTickInterval, [this] { tick(); }) {}
 
+  ControlMember describeSelf(MemberId Id) const {
+    return ControlMember{Id,
+                         m_Settings.m_Host,
+                         m_Settings.m_Zone,
+                         m_Settings.m_Peer,
+                         advertisedOperationsEndpoint(),
+                         !m_Settings.m_DataFolder.empty()};
+  }
+
+  /// Opens the data folder and returns what the core starts with.
+  ControlOptions openStorage() {
+    try {
+      m_Store.emplace(m_Settings.m_DataFolder,
+                      m_StorageFailedAt ? kRecoveryRoomBytes : 0);
+      return coreOptions();
+    } catch (const StorageUnavailable &Failure) {
+      return closeStorage(Failure.what());
+    }
+  }
+
+  /// Returns what the core starts with while the data folder cannot be written.
+  ControlOptions closeStorage(const std::string &Reason) {
+    m_Store.reset();
+    m_RetryStorageAt = m_Loop.now() + kStorageRetryInterval;
+    if (!m_StorageFailedAt) {
+      m_StorageFailedAt = m_Loop.now();
+      writeLog(LogLevel::Warning,
+               "cannot write the data folder; not ready, and no voting member, "
+               "until it can be written: " +
+                   Reason);
+    }
+    ControlOptions Options;
+    Options.m_Self = describeSelf({});
+    Options.m_IsStorageAvailable = false;
+    return Options;
+  }
+
+  /// Called when a write has failed. The actions that follow it, and the events
+  /// that wait, depend on what is not durable and are dropped.
+  void suspend(const std::string &Reason) {
+    m_Events.clear();
+    restartCore(closeStorage(Reason));
+    std::vector<OperationId> Unanswered =
+        m_OperationsServer.pendingOperations();
+    for (const std::pair<const OperationId, OnReply> &Entry : m_ReplyHandlers)
+      Unanswered.push_back(Entry.first);
+    for (OperationId Id : Unanswered)
+      execute(interruptedReply(Id));
+  }
+
+  void retryStorage() {
+    if (!m_StorageFailedAt || m_Loop.now() < m_RetryStorageAt)
+      return;
+    ControlOptions Options = openStorage();
+    if (!Options.m_IsStorageAvailable)
+      return;
+    Duration Took = m_Loop.now() - *m_StorageFailedAt;
+    writeLog(LogLevel::Info,
+             "the data folder can be written again, after " +
+                 std::to_string(
+                     std::chrono::duration_cast<std::chrono::milliseconds>(Took)
+                         .count()) +
+                 " ms");
+    m_StorageFailedAt.reset();
+    restartCore(Options);
+  }
+
+  void restartCore(const ControlOptions &Options) {
+    while (!m_Links.empty())
+      closeLink(m_Links.begin()->first);
+    m_InstanceClient.cancelCalls();
+    ++m_CoreRestarts;
+    m_Core.restart(Options, m_Loop.now());
+    if (m_IsShutdownRequested)
+      post(ShutdownRequested{});
+  }
+
   ControlOptions coreOptions() {
     ControlOptions Options;
-    Options.m_Self = ControlMember{m_Store.memberId(),
-                                   m_Settings.m_Host,
-                                   m_Settings.m_Zone,
-                                   m_Settings.m_Peer,
-                                   advertisedOperationsEndpoint(),
-                                   !m_Settings.m_DataFolder.empty()};
+    Options.m_Self = describeSelf(m_Store->memberId());
     Options.m_LostDisksBorne = m_Settings.m_ToleratedDiskLosses;
     if (m_Settings.m_Bootstrap && !m_Settings.m_Join.empty())
       throw Error(ErrorKind::BadRequest,
                   "--bootstrap, which forms a new cluster, and --join, which "
                   "enters an existing one, are mutually exclusive");
-    if (m_Settings.m_Bootstrap && m_Store.clusterId() == 0)
-      m_Store.bootstrap(Options.m_Self);
-    if (!m_Settings.m_Founders.empty() && m_Store.clusterId() == 0)
+    if (m_Settings.m_Bootstrap && m_Store->clusterId() == 0)
+      m_Store->bootstrap(Options.m_Self);
+    if (!m_Settings.m_Founders.empty() && m_Store->clusterId() == 0)
       initialiseAsFounder(Options.m_Self);
-    Options.m_Log = m_Store.takeLog();
-    Options.m_ClusterId = m_Store.clusterId();
+    Options.m_Log = m_Store->takeLog();
+    Options.m_ClusterId = m_Store->clusterId();
     Options.m_JoinPeers = m_Settings.m_Join;
     Options.m_Seed = generateIdentifier();
     return Options;
@@ -177,8 +260,8 @@
                               });
     if (Found == Founders.end())
       return;
-    m_Store.initialiseAsFounder(Found->m_Id, deriveClusterId(Founders),
-                                Founders);
+    m_Store->initialiseAsFounder(Found->m_Id, deriveClusterId(Founders),
+                                 Founders);
     Self.m_Id = Found->m_Id;
   }
 
@@ -190,6 +273,7 @@
 
   void tick() {
     m_ClosedLinks.clear();
+    stopOnFailure([this] { retryStorage(); });
     post(ClockTick{wallTimeMs()});
     bool IsIdle =
         m_OperationsServer.requestsInFlight() == 0 && m_ReplyHandlers.empty();
@@ -203,15 +287,19 @@
     if (m_IsHandlingEvents || m_Failure)
       return;
     m_IsHandlingEvents = true;
+    stopOnFailure([this] { handleEvents(); });
+    m_IsHandlingEvents = false;
+  }
+
+  /// Exceptions must not propagate through the event loop, which is written in
+  /// C.
+  template <typename Function> void stopOnFailure(const Function &Run) {
     try {
-      handleEvents();
+      Run();
     } catch (...) {
-      // Exceptions must not propagate through the event loop, which is written
-      // in C.
       m_Failure = std::current_exception();
       m_Loop.stop();
     }
-    m_IsHandlingEvents = false;
   }
 
   void handleEvents() {
@@ -220,12 +308,19 @@
       m_Events.pop_front();
       ControlActions Actions;
       m_Core.handle(Event, m_Loop.now(), Actions);
-      for (const ControlAction &Action : Actions)
-        std::visit([&](const auto &Value) { execute(Value); }, Action);
+      try {
+        for (const ControlAction &Action : Actions)
+          std::visit([&](const auto &Value) { execute(Value); }, Action);
+      } catch (const StorageUnavailable &Failure) {
+        suspend(Failure.what());
+      }
     }
   }
 
   void accept(std::unique_ptr<Link> Accepted) {
+    // The end of the link makes the peer use another host at once.
+    if (m_StorageFailedAt)
+      return;
     m_LastAcceptedLink += 2;
     addLink(LinkId{m_LastAcceptedLink}, std::move(Accepted));
   }
@@ -258,12 +353,15 @@
 
   // Actions.
 
-  void execute(const PersistLog &Action) { m_Store.persist(Action); }
+  void execute(const PersistLog &Action) { m_Store->persist(Action); }
   void execute(const PersistSnapshot &Action) {
-    m_Store.persistSnapshot(Action.m_Snapshot);
+    if (!m_Store->persistSnapshot(Action.m_Snapshot))
+      writeLog(LogLevel::Warning,
+               "no room for a snapshot, or an I/O error; the log is kept as it "
+               "is: free space on the disk of the data folder");
   }
   void execute(const PersistCluster &Action) {
-    m_Store.initialise(Action.m_ClusterId, {});
+    m_Store->initialise(Action.m_ClusterId, {});
   }
   void execute(const ReplyToOperation &Action) {
     auto Found = m_ReplyHandlers.find(Action.m_Id);
@@ -280,8 +378,11 @@
           Action.m_Call, GroupCallOutcome::Refused, {}, 0, false});
       return;
     }
-    m_Settings.m_Gateway(
-        Action, [this](const GroupCallAnswered &Answer) { post(Answer); });
+    m_Settings.m_Gateway(Action, [this, Restarts = m_CoreRestarts](
+                                     const GroupCallAnswered &Answer) {
+      if (Restarts == m_CoreRestarts)
+        post(Answer);
+    });
   }
   void execute(const OpenLink &Action) {
     m_Links[Action.m_Link] =
@@ -337,6 +438,9 @@
 
 const ControlCore &ControlHost::core() const { return m_State->m_Core; }
 
-void ControlHost::shutDown() { m_State->post(ShutdownRequested{}); }
+void ControlHost::shutDown() {
+  m_State->m_IsShutdownRequested = true;
+  m_State->post(ShutdownRequested{});
+}
 
 } // namespace almondpier
--- a/src/control/ControlStore.cpp
+++ b/src/control/ControlStore.cpp
@@ -4,14 +4,14 @@
 
 namespace almondpier {
 
-ControlStore::ControlStore(const std::string &Folder) {
+ControlStore::ControlStore(const std::string &Folder, size_t RoomBytes) {
   if (!Folder.empty())
     m_Folder.emplace(Folder);
   if (!m_Folder || !m_Folder->isInitialised()) {
     m_MemberId = MemberId{generateIdentifier()};
     return;
   }
-  m_Log = m_Folder->load();
+  m_Log = m_Folder->load(RoomBytes);
   m_MemberId = m_Folder->identity().m_Member;
   m_ClusterId = m_Folder->identity().m_ClusterId;
 }
--- a/src/control/ControlStore.h
+++ b/src/control/ControlStore.h
@@ -15,7 +15,9 @@
   /// Opens the folder unless its name is empty. An empty folder is not
   /// initialised until the host belongs to a cluster; until then each start
   /// generates a new member identifier.
-  explicit ControlStore(const std::string &Folder);
+  /// Throws StorageUnavailable when a folder with a log has no room for another
+  /// RoomBytes.
+  explicit ControlStore(const std::string &Folder, size_t RoomBytes = 0);
 
   MemberId memberId() const { return m_MemberId; }
   /// 0 until the host belongs to a cluster.
--- a/src/control/InstanceClient.h
+++ b/src/control/InstanceClient.h
@@ -17,6 +17,8 @@
       : m_Loop(Loop), m_OnEvent(std::move(OnEvent)) {}
 
   void call(const CallInstance &Call);
+  /// Drops all calls in progress; they are not answered.
+  void cancelCalls() { m_Calls.clear(); }
 
 private:
   EventLoop &m_Loop;
--- a/src/control/OperationsServer.cpp
+++ b/src/control/OperationsServer.cpp
@@ -139,6 +139,10 @@
     return handleRead(Request, RequestKind::Configuration);
   if (IsGet && Request.m_Path == "/v1/audit")
     return handleRead(Request, RequestKind::Audit);
+  // Without storage the state is empty, which a status would present as that of
+  // the cluster.
+  if (!m_Core.blackboard().m_IsStorageAvailable)
+    throw Error(ErrorKind::NotLeader, describeNoLeader(m_Core.blackboard()));
   if (IsGet && Request.m_Path == "/v1/status")
     return replyWithJson(Request.m_Id, kHttpOk,
                          statusToJson(m_Core.blackboard()).dump());
@@ -194,6 +198,14 @@
   return Id;
 }
 
+std::vector<OperationId> OperationsServer::pendingOperations() const {
+  std::vector<OperationId> Pending;
+  for (const std::pair<const uint64_t, PendingRequest> &Entry :
+       m_PendingRequests)
+    Pending.push_back(OperationId{Entry.first});
+  return Pending;
+}
+
 void OperationsServer::reply(const ReplyToOperation &Reply) {
   auto Found = m_PendingRequests.find(Reply.m_Id.m_Value);
   if (Found == m_PendingRequests.end())
--- a/src/control/OperationsServer.h
+++ b/src/control/OperationsServer.h
@@ -20,6 +20,7 @@
                    const ControlCore &Core, Handler OnEvent);
 
   void reply(const ReplyToOperation &Reply);
+  std::vector<OperationId> pendingOperations() const;
   void stopAccepting() { m_Server.stopAccepting(); }
   size_t requestsInFlight() const { return m_Server.requestsInFlight(); }
 
--- a/src/decision/control/ControlBlackboard.cpp
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -62,6 +62,13 @@
   m_Actions.push_back(refusalByFollower(m_Board, Id));
 }
 
+std::string describeNoLeader(const ControlBlackboard &Board) {
+  return Board.m_IsStorageAvailable
+             ? "no control host is known to lead"
+             : "not ready: this control host cannot write its data folder; use "
+               "another control host";
+}
+
 ReplyToOperation refusalByFollower(const ControlBlackboard &Board,
                                    OperationId Id) {
   ReplyToOperation Reply;
@@ -72,7 +79,7 @@
       ErrorKind::NotLeader,
       IsKnown ? "control host '" + Leader->m_Host.m_Value + "' leads, at " +
                     formatEndpoint(Leader->m_Operations)
-              : "no control host is known to lead",
+              : describeNoLeader(Board),
       Ran::No, 0};
   if (IsKnown)
     Reply.m_Leader = Leader->m_Operations;
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -52,6 +52,8 @@
   Membership m_Membership;
   uint64_t m_WallTimeMs = 0;
   bool m_IsShuttingDown = false;
+  /// False while the data folder cannot be written.
+  bool m_IsStorageAvailable = true;
   ControlState m_State;
 
   /// Written by the liveness controller. The list is empty and not yet known
@@ -91,6 +93,10 @@
   bool isDurable() const;
 };
 
+/// Why this host refuses operations of callers that no other host can be named
+/// to.
+std::string describeNoLeader(const ControlBlackboard &Board);
+
 /// Refuses an operation because another host leads, and names that host when
 /// it is known.
 ReplyToOperation refusalByFollower(const ControlBlackboard &Board,
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -70,6 +70,7 @@
         m_Announcements(m_Board), m_Directory(m_Board), m_Promotions(m_Board),
         m_ClusterId(Options.m_ClusterId) {
     m_Board.m_Self = Options.m_Self;
+    m_Board.m_IsStorageAvailable = Options.m_IsStorageAvailable;
     if (m_ClusterId != 0)
       openLog(Now);
   }
@@ -94,6 +95,8 @@
   // Events.
 
   void handle(const ControlEvent &Event, Time Now, ControlActions &Actions) {
+    if (!m_Options.m_IsStorageAvailable)
+      return refuse(m_Board, Event, Actions);
     m_Links.setPeers(wantedPeers(), Actions, Now);
     if (!m_Log) {
       handleWithoutLog(Event, Now, Actions);
@@ -109,6 +112,17 @@
 
   bool isRelay() const { return !m_Log && !m_Board.m_Self.m_IsDurable; }
 
+  /// Consensus without a log that can be written would promise what a restart
+  /// forgets, so this host does what a stopped one does, and refuses
+  /// operations.
+  static void refuse(const ControlBlackboard &Board, const ControlEvent &Event,
+                     ControlActions &Actions) {
+    if (std::holds_alternative<ShutdownRequested>(Event))
+      Actions.push_back(ShutdownComplete{});
+    else if (std::optional<OperationId> Id = operationOf(Event))
+      Actions.push_back(refusalByFollower(Board, *Id));
+  }
+
   /// Joins with an empty data folder, or relays without one.
   void handleWithoutLog(const ControlEvent &Event, Time Now,
                         ControlActions &Actions) {
@@ -337,6 +351,8 @@
   }
 
   bool isReady() const {
+    if (!m_Options.m_IsStorageAvailable)
+      return false;
     if (isRelay())
       return m_Relay.isReady();
     return !m_Board.m_IsShuttingDown && !isJoining() &&
@@ -564,11 +580,27 @@
   }
 };
 
+ReplyToOperation interruptedReply(OperationId Id) {
+  ReplyToOperation Reply;
+  Reply.m_Id = Id;
+  Reply.m_Error =
+      ErrorReport{ErrorKind::OutcomeUnknown,
+                  "the control host cannot write its data folder; the outcome "
+                  "of a change is not known, send it again with the same "
+                  "change identifier",
+                  Ran::Unknown, 0};
+  return Reply;
+}
+
 ControlCore::ControlCore(const ControlOptions &Options, Time Now)
     : m_State(std::make_unique<State>(Options, Now)) {}
 
 ControlCore::~ControlCore() = default;
 
+void ControlCore::restart(const ControlOptions &Options, Time Now) {
+  m_State = std::make_unique<State>(Options, Now);
+}
+
 void ControlCore::handle(const ControlEvent &Event, Time Now,
                          ControlActions &Actions) {
   m_State->handle(Event, Now, Actions);
@@ -598,6 +630,9 @@
        static_cast<double>(m_State->m_AppliedSinceStart)},
       {"almondpier_control_snapshots_total", "Snapshots taken.",
        static_cast<double>(m_State->m_Snapshots)},
+      {"almondpier_control_storage_failed",
+       "1 while the data folder cannot be written.",
+       Board.m_IsStorageAvailable ? 0.0 : 1.0},
       {"almondpier_control_live_hosts", "Proxies in the published list.",
        static_cast<double>(Board.m_LiveHosts.m_Hosts.size())},
       {"almondpier_control_polls_answered_total", "Polls answered.",
--- a/src/decision/control/ControlCore.h
+++ b/src/decision/control/ControlCore.h
@@ -22,8 +22,15 @@
   /// Disks that may be lost at the same time. An absence of members never
   /// shrinks the cluster to fewer copies than that takes.
   size_t m_LostDisksBorne = 1;
+  /// False while the data folder cannot be written. The host then takes no part
+  /// in consensus and refuses every operation, until the core is restarted.
+  bool m_IsStorageAvailable = true;
 };
 
+/// Answers an operation that was in progress when the data folder could not be
+/// written.
+ReplyToOperation interruptedReply(OperationId Id);
+
 class ControlCore {
 public:
   ControlCore(const ControlOptions &Options, Time Now);
@@ -31,6 +38,10 @@
   ControlCore(const ControlCore &) = delete;
   ControlCore &operator=(const ControlCore &) = delete;
 
+  /// Forgets everything and starts from Options, as in a new process. The
+  /// driver closes all links, and drops events and answers to calls of the time
+  /// before.
+  void restart(const ControlOptions &Options, Time Now);
   /// Handles an event and appends the actions it causes, to be carried out in
   /// order.
   void handle(const ControlEvent &Event, Time Now, ControlActions &Actions);
