--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -13,6 +13,7 @@
 constexpr const char *kIdentityName = "identity";
 constexpr const char *kSnapshotName = "snapshot";
 constexpr const char *kLockName = "lock";
+constexpr const char *kRoomName = "room";
 /// Present while initialise runs, so that a folder whose initialisation was
 /// interrupted is told from one that lost its identity.
 constexpr const char *kInitialisingName = "initialising";
@@ -62,11 +63,12 @@
   void removeLeftovers();
   void requireNoLog() const;
   void requireUsable() const;
+  void requireRoom(size_t Bytes) const;
   /// Runs a write; refuses all later ones when it throws.
   template <typename Function> void write(const Function &Write);
   PersistedLog replay(std::vector<Batch> &&Batches);
   void install(const Snapshot &Installed);
-  void saveSnapshot(const Snapshot &Saved);
+  std::string encodedSnapshot(const Snapshot &Saved) const;
 
   std::filesystem::path m_Folder;
   File m_Lock;
@@ -82,7 +84,7 @@
 
 DataFolder::State::State(const std::filesystem::path &Folder)
     : m_Folder(Folder) {
-  if (std::filesystem::create_directories(Folder))
+  if (createFolders(Folder))
     syncFolder(std::filesystem::absolute(Folder).parent_path());
   m_Lock = File(pathOf(kLockName), O_RDWR | O_CREAT);
   if (!m_Lock.tryLock())
@@ -95,7 +97,7 @@
 }
 
 void DataFolder::State::removeLeftovers() {
-  for (const char *Name : {kIdentityName, kSnapshotName})
+  for (const char *Name : {kIdentityName, kSnapshotName, kRoomName})
     removeFile(temporaryOf(pathOf(Name)));
   if (!std::filesystem::exists(pathOf(kInitialisingName)))
     return;
@@ -127,7 +129,15 @@
   if (m_Failed || !m_Segments)
     throw StorageError(m_Folder.string() +
                        ": the folder is not loaded or an earlier write failed; "
-                       "restart the process");
+                       "open and load it again");
+}
+
+void DataFolder::State::requireRoom(size_t Bytes) const {
+  if (Bytes == 0)
+    return;
+  std::filesystem::path Path = pathOf(kRoomName);
+  writeTemporary(Path, std::string(Bytes, '\0'));
+  removeFile(temporaryOf(Path));
 }
 
 template <typename Function>
@@ -170,9 +180,9 @@
   return Log;
 }
 
-void DataFolder::State::saveSnapshot(const Snapshot &Saved) {
-  writeRecordFile(pathOf(kSnapshotName), m_Identity.m_Member,
-                  SnapshotFile{m_LastInstall, Saved});
+std::string DataFolder::State::encodedSnapshot(const Snapshot &Saved) const {
+  return encodeRecord({m_Identity.m_Member, 0}, 0,
+                      encodeValue(SnapshotFile{m_LastInstall, Saved}));
 }
 
 void DataFolder::State::install(const Snapshot &Installed) {
@@ -180,7 +190,7 @@
   // at no moment are old entries read on top of the new snapshot.
   m_Segments->append(Batch{m_HardState, ++m_HighestInstall, {}}, m_HardState);
   m_LastInstall = m_HighestInstall;
-  saveSnapshot(Installed);
+  replaceFile(pathOf(kSnapshotName), encodedSnapshot(Installed));
   m_Segments->deleteCovered(Installed.m_Index, m_HardState);
 }
 
@@ -212,7 +222,7 @@
   syncFolder(m_State->m_Folder);
 }
 
-PersistedLog DataFolder::load() {
+PersistedLog DataFolder::load(size_t RoomBytes) {
   if (!isInitialised())
     throw StorageError(m_State->m_Folder.string() +
                        ": the folder is not initialised; bootstrap a cluster "
@@ -222,10 +232,21 @@
   ++m_State->m_Identity.m_StartCount;
   LogSegments Segments(m_State->m_Folder, m_State->m_Identity.m_Member);
   PersistedLog Log = m_State->replay(Segments.load());
+  if (Segments.isOldestCovered(Log.m_Snapshot.m_Index)) {
+    // On a full disk this makes room. The sync after the rename of the snapshot
+    // may have failed.
+    Segments.makeDurable();
+    syncFolder(m_State->m_Folder);
+    Segments.deleteOldest(Log.m_Snapshot.m_Index);
+  }
+  m_State->requireRoom(RoomBytes);
+  // Written before the log, so that repeated attempts on a full disk neither
+  // make the log grow nor write it again.
+  writeRecordFile(Path, MemberId{}, m_State->m_Identity);
+  Segments.makeDurable();
   // The first record of the last segment may have been torn; older segments are
   // deleted only because a later one holds the hard state.
   Segments.append(Batch{Log.m_HardState, 0, {}}, Log.m_HardState);
-  writeRecordFile(Path, MemberId{}, m_State->m_Identity);
   m_State->m_Segments.emplace(std::move(Segments));
   return Log;
 }
@@ -250,11 +271,20 @@
   });
 }
 
-void DataFolder::writeSnapshot(const Snapshot &Snapshot) {
+bool DataFolder::writeSnapshot(const Snapshot &Snapshot) {
+  m_State->requireUsable();
+  std::filesystem::path Path = m_State->pathOf(kSnapshotName);
+  try {
+    writeTemporary(Path, m_State->encodedSnapshot(Snapshot));
+  } catch (const StorageUnavailable &) {
+    removeFile(temporaryOf(Path));
+    return false;
+  }
   m_State->write([&] {
-    m_State->saveSnapshot(Snapshot);
+    commitTemporary(Path);
     m_State->m_Segments->deleteCovered(Snapshot.m_Index, m_State->m_HardState);
   });
+  return true;
 }
 
 uint64_t DataFolder::logBytes() const {
