Bound what the test of pipelined statements sends

Its last form never ended once the transaction had failed: each statement is then refused as soon as it is sent, so the loop that keeps three in flight went on until the test program was killed for its memory (seen in two runs of the whole test program; I had taken the first for a slow one). It now sends at most one statement in 2 ms.

--- a/tests/session/EvacuationTest.cpp
+++ b/tests/session/EvacuationTest.cpp
@@ -126,9 +126,12 @@
   };
   size_t Sent = 1;
   while (Fleet.m_Now - OrderedAt < kEvacuationLimit + milliseconds(1'000)) {
-    for (; Sent < Fleet.m_Sessions[Session].m_Replies.size() + 3; ++Sent)
+    // A failed transaction refuses each statement as soon as it is sent.
+    if (Sent < Fleet.m_Sessions[Session].m_Replies.size() + 3) {
       Fleet.send(Session, StatementKind::Write);
-    Fleet.run(milliseconds(5));
+      ++Sent;
+    }
+    Fleet.run(milliseconds(2));
   }
   CHECK(Late == 0);
 }
