Log which instance breaks the protocol and which key is refused

Each such reply is now a decision line with instance, connection, defect and last request, and has a counter (almondpier_instance_invalid_replies_total, almondpier_instance_unrequested_replies_total). A refused session names the start of its key's digest. What is decided stays as it was.

--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -46,6 +46,17 @@
                                 kTargetLatencyDivisor));
 }
 
+/// Start of the key's digest, in hex: tells two keys apart in the log and does
+/// not reveal them.
+std::string describeKey(const std::optional<KeyDigest> &Key) {
+  constexpr size_t kLoggedBytes = 4;
+  if (!Key)
+    return "none";
+  return "digest " + toHex(std::string_view(
+                         reinterpret_cast<const char *>(Key->m_Bytes.data()),
+                         kLoggedBytes));
+}
+
 } // namespace
 
 SessionController::SessionController(
@@ -82,7 +93,8 @@
     ++m_SessionsRefused;
     emit(ReportDecision{
         "session refused: " + std::string(nameOf(*Refusal)) + ", route " +
-            Event.m_Route.m_Value + ", policy version " +
+            Event.m_Route.m_Value + ", key " + describeKey(Event.m_Key) +
+            ", policy version " +
             std::to_string(m_Board.m_Configuration.policy().m_Version),
         true});
     emit(RefuseSession{Event.m_Session, *Refusal});
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -71,6 +71,9 @@
   void operator()(const InstanceReplied &Event, Time Now) {
     m_Sessions.executor().onReplied(Event, Now);
   }
+  void operator()(const InstanceReplyInvalid &Event, Time Now) {
+    m_Sessions.executor().onReplyInvalid(Event, Now);
+  }
   void operator()(const ConnectionClosed &Event, Time Now) {
     m_Sessions.executor().onClosed(Event.m_Connection, Now);
   }
--- a/src/decision/session/SessionEvents.cpp
+++ b/src/decision/session/SessionEvents.cpp
@@ -38,6 +38,16 @@
   return "other error";
 }
 
+std::string_view nameOf(ReplyDefect Defect) {
+  switch (Defect) {
+  case ReplyDefect::InvalidLine:
+    return "an invalid line";
+  case ReplyDefect::Unrequested:
+    return "a reply that no statement waits for";
+  }
+  return "an invalid reply";
+}
+
 bool isWrite(const Statement &Statement) {
   return Statement.m_Kind == StatementKind::Write ||
          (Statement.m_Kind == StatementKind::Execute && Statement.m_IsWrite);
--- a/src/decision/session/SessionEvents.h
+++ b/src/decision/session/SessionEvents.h
@@ -83,6 +83,16 @@
 /// not executed.
 bool provesNotExecuted(SessionError Error);
 
+/// Why a reply of an instance cannot be the reply to the statement that is
+/// outstanding on its connection.
+enum class ReplyDefect : uint8_t {
+  /// A line is none of the protocol.
+  InvalidLine,
+  /// No statement was outstanding.
+  Unrequested,
+};
+std::string_view nameOf(ReplyDefect Defect);
+
 /// Reply to one statement.
 struct StatementReply {
   std::vector<std::string> m_Rows;
@@ -124,12 +134,17 @@
   ConnectionId m_Connection;
   StatementReply m_Reply;
 };
+/// The lines that the instance sent are not a reply.
+struct InstanceReplyInvalid {
+  ConnectionId m_Connection;
+  ReplyDefect m_Defect = ReplyDefect::InvalidLine;
+};
 
 using SessionEvent =
     std::variant<SessionOpened, StatementReceived, SessionEnded,
                  InstanceConnected, InstanceRefused, InstanceReplied,
-                 ConnectionClosed, LinkOpened, LinkClosed, MessageReceived,
-                 Tick, ShutdownRequested>;
+                 InstanceReplyInvalid, ConnectionClosed, LinkOpened, LinkClosed,
+                 MessageReceived, Tick, ShutdownRequested>;
 
 // Actions.
 
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -514,11 +514,39 @@
   }
 }
 
+void StatementExecutor::reportDefect(const InstanceConnection &Connection,
+                                     ReplyDefect Defect) {
+  ++(Defect == ReplyDefect::Unrequested ? m_UnrequestedReplies
+                                        : m_InvalidReplies);
+  auto Found = Connection.m_Session
+                   ? m_Sessions.find(Connection.m_Session->m_Value)
+                   : m_Sessions.end();
+  std::string Request =
+      Found == m_Sessions.end() ? "none" : Found->second.m_LastRequestId;
+  m_Actions.push_back(ReportDecision{
+      "instance " + Connection.m_Instance.m_Value + " sent " +
+          std::string(nameOf(Defect)) + " on connection " +
+          std::to_string(Connection.m_Id.m_Value) + ", last request " + Request,
+      true});
+}
+
+void StatementExecutor::onReplyInvalid(const InstanceReplyInvalid &Event,
+                                       Time Now) {
+  InstanceConnection *Connection = m_Pool.find(Event.m_Connection);
+  if (Connection == nullptr)
+    return;
+  reportDefect(*Connection, Event.m_Defect);
+  onClosed(Event.m_Connection, Now);
+}
+
 void StatementExecutor::onReplied(const InstanceReplied &Event, Time Now) {
   InstanceConnection *Connection = m_Pool.find(Event.m_Connection);
   if (Connection == nullptr)
     return;
   m_Tracker.onInputReceived(Connection->m_Instance, Now);
+  if (Connection->m_State == ConnectionState::Idle ||
+      Connection->m_State == ConnectionState::Pinned)
+    reportDefect(*Connection, ReplyDefect::Unrequested);
   const StatementReply &Reply = Event.m_Reply;
   bool IsRefused = Reply.m_Error.has_value();
   if (!IsRefused && Connection->m_State == ConnectionState::Executing)
@@ -946,6 +974,12 @@
       {"almondpier_overload_rejections_total",
        "Statements that instances rejected as overloaded",
        static_cast<double>(m_OverloadRejections)},
+      {"almondpier_instance_invalid_replies_total",
+       "Replies of instances that break the protocol",
+       static_cast<double>(m_InvalidReplies)},
+      {"almondpier_instance_unrequested_replies_total",
+       "Replies of instances that no statement waited for",
+       static_cast<double>(m_UnrequestedReplies)},
       {"almondpier_instances_ramping",
        "Instances whose load is being raised after a start or a return",
        static_cast<double>(m_Tracker.rampingCount())},
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -49,6 +49,7 @@
   void onConnected(const InstanceConnected &Event, Time Now);
   void onRefused(const InstanceRefused &Event, Time Now);
   void onReplied(const InstanceReplied &Event, Time Now);
+  void onReplyInvalid(const InstanceReplyInvalid &Event, Time Now);
   void onClosed(ConnectionId Id, Time Now);
   /// A control host proved what the configuration is.
   void onConfigurationProved(Time Now) { m_Evacuated.update(Now); }
@@ -115,6 +116,9 @@
                           const StatementReply &Reply);
   void onUnclaimedReply(InstanceConnection &Connection, bool IsRefused,
                         Time Now);
+  /// Counts and logs a defective reply with the instance, the connection and
+  /// the request that was outstanding.
+  void reportDefect(const InstanceConnection &Connection, ReplyDefect Defect);
   void recordError(const InstanceConnection &Connection, SessionError Error,
                    Time Now);
   /// Returns the connection to the pool, after a rollback when a transaction is
@@ -168,6 +172,8 @@
   uint64_t m_RunWithoutOwner = 0;
   uint64_t m_ConnectionsOverLimit = 0;
   uint64_t m_OverloadRejections = 0;
+  uint64_t m_InvalidReplies = 0;
+  uint64_t m_UnrequestedReplies = 0;
   /// Statements rejected on arrival because of the queue before them.
   uint64_t m_QueueRejections = 0;
   /// Transactions rolled back because their zone was evacuated.
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -120,9 +120,7 @@
     Reply.m_Position = Ready->m_Position;
     dispatch(InstanceReplied{Id, std::move(Reply)});
   } else {
-    writeLog(LogLevel::Warning, "an instance sent an invalid line; closing its "
-                                "connection");
-    dispatch(ConnectionClosed{Id});
+    dispatch(InstanceReplyInvalid{Id, ReplyDefect::InvalidLine});
   }
 }
 
