--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -5,10 +5,14 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
+#include <netinet/tcp.h>
 #include <random>
 #include <set>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace almondpier;
@@ -273,3 +277,116 @@
     Given.insert(freeEndpoint());
   CHECK(Given.size() == kEndpoints);
 }
+
+namespace {
+
+/// Connected to a LineListener; sends bytes in pieces of chosen sizes and
+/// collects the lines that the listener receives.
+class LineCollector {
+public:
+  explicit LineCollector(const LineStream::Limits &Limits)
+      : m_Local(freeEndpoint()),
+        m_Listener(m_Loop, m_Local, Limits,
+                   [this](std::unique_ptr<LineStream> Stream) {
+                     m_Stream = std::move(Stream);
+                     m_Stream->setCallbacks({{},
+                                             [this](std::string_view Line) {
+                                               m_Lines.emplace_back(Line);
+                                             },
+                                             [this](const std::string &Reason) {
+                                               m_CloseReason = Reason;
+                                               m_Loop.stop();
+                                             }});
+                   }) {}
+
+  /// Sends the bytes, cut at random into pieces of at most MaxPiece bytes, and
+  /// closes the connection.
+  void receive(const std::string &Bytes, size_t MaxPiece, uint32_t Seed) {
+    std::thread Sender([&] {
+      std::mt19937 Random(Seed);
+      int Socket = socket(AF_INET, SOCK_STREAM, 0);
+      sockaddr_in Address{};
+      Address.sin_family = AF_INET;
+      Address.sin_port = htons(m_Local.m_Port);
+      inet_pton(AF_INET, m_Local.m_Address.c_str(), &Address.sin_addr);
+      int On = 1;
+      setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+      if (connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
+                  sizeof(Address)) == 0) {
+        for (size_t Sent = 0; Sent < Bytes.size();) {
+          size_t Piece =
+              std::min<size_t>(1 + Random() % MaxPiece, Bytes.size() - Sent);
+          ssize_t Written =
+              send(Socket, Bytes.data() + Sent, Piece, MSG_NOSIGNAL);
+          if (Written <= 0)
+            break;
+          Sent += static_cast<size_t>(Written);
+        }
+      }
+      ::close(Socket);
+    });
+    runFor(m_Loop, kGenerous);
+    Sender.join();
+  }
+
+  std::vector<std::string> m_Lines;
+  std::string m_CloseReason;
+
+private:
+  EventLoop m_Loop;
+  Endpoint m_Local;
+  std::unique_ptr<LineStream> m_Stream;
+  LineListener m_Listener;
+};
+
+/// Text of random bytes, many of them line feeds and carriage returns, without
+/// the end of a line.
+std::string randomLine(std::mt19937 &Random, size_t MaxBytes) {
+  std::string Line(Random() % (MaxBytes + 1), '\0');
+  for (char &Character : Line) {
+    constexpr std::array kFrequent{'\n', '\r', ' ', '\0'};
+    Character = Random() % 2 == 0 ? kFrequent[Random() % kFrequent.size()]
+                                  : static_cast<char>(Random() % 256);
+  }
+  for (size_t End = Line.find("\r\n"); End != std::string::npos;
+       End = Line.find("\r\n"))
+    Line[End] = 'x';
+  return Line;
+}
+
+} // namespace
+
+// UNASKED, MIXED: a line feed in the text of a caller or in a row of an
+// instance ended the line, and its rest was read as a line of its own.
+TEST_CASE("a line of a stream ends only at a carriage return and a line feed") {
+  for (uint32_t Seed = 1; Seed <= 20; ++Seed) {
+    INFO("seed " << Seed);
+    std::mt19937 Random(Seed);
+    std::vector<std::string> Sent;
+    std::string Bytes;
+    for (int Count = 0; Count < 40; ++Count) {
+      Sent.push_back(randomLine(Random, 200));
+      Bytes += Sent.back() + "\r\n";
+    }
+    LineCollector Collector{LineStream::Limits()};
+    Collector.receive(Bytes, Seed % 2 == 0 ? 3 : 5'000, Seed);
+    CHECK(Collector.m_Lines == Sent);
+  }
+}
+
+// The limit counts the text of a line, whatever pieces it arrives in.
+TEST_CASE("a line of the largest size passes and a longer one ends the "
+          "stream") {
+  LineStream::Limits Limits;
+  Limits.m_MaxLineBytes = 100'000;
+  for (size_t MaxPiece : {size_t{7}, size_t{70'000}}) {
+    std::string Largest(Limits.m_MaxLineBytes, '\n');
+    LineCollector Fitting{Limits};
+    Fitting.receive(Largest + "\r\nnext\r\n", MaxPiece, 1);
+    CHECK(Fitting.m_Lines == std::vector<std::string>{Largest, "next"});
+    LineCollector TooLong{Limits};
+    TooLong.receive("first\r\n" + Largest + "\n\r\n", MaxPiece, 1);
+    CHECK(TooLong.m_Lines == std::vector<std::string>{"first"});
+    CHECK(TooLong.m_CloseReason == "a line exceeds the size limit");
+  }
+}
--- a/tests/session/OwnerTest.cpp
+++ b/tests/session/OwnerTest.cpp
@@ -48,7 +48,7 @@
   CHECK(!Fleet.sendAndWait(Id, StatementKind::Read).m_Error);
   StatementReply Committed = Fleet.sendAndWait(Id, StatementKind::Commit);
   CHECK(!Committed.m_Error);
-  CHECK(Committed.m_Receipt == "receipt");
+  CHECK(Committed.m_Receipt.starts_with("receipt "));
   CHECK(Committed.m_State == TransactionState::None);
   CHECK(!Fleet.sendAndWait(Id, StatementKind::Begin).m_Error);
   CHECK(!Fleet.sendAndWait(Id, StatementKind::Write).m_Error);
--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -762,8 +762,8 @@
           Replica.m_Position = std::max(Replica.m_Position, Written);
         });
   }
-  static StatementReply replyOf(Instance &Receiver, Connection &Used,
-                                const SendToInstance &Action, bool IsFull) {
+  StatementReply replyOf(Instance &Receiver, Connection &Used,
+                         const SendToInstance &Action, bool IsFull) {
     StatementKind Kind = Action.m_Statement.m_Kind;
     bool IsWrite = Kind == StatementKind::Write;
     StatementReply Reply;
@@ -799,7 +799,12 @@
     Used.m_HasWritten = Used.m_HasWritten || IsWrite;
     if (Kind == StatementKind::Commit || Kind == StatementKind::Rollback)
       Used.m_State = TransactionState::None;
-    Reply.m_Receipt = "receipt";
+    // Only statements that occupy a slot have a receipt, each its own.
+    bool HasReceipt = IsWrite || Kind == StatementKind::Read ||
+                      Kind == StatementKind::Execute ||
+                      Kind == StatementKind::Commit;
+    if (HasReceipt)
+      Reply.m_Receipt = "receipt " + std::to_string(++m_LastReceipt);
     Reply.m_State = Used.m_State;
     Reply.m_Position = Receiver.m_Position;
     return Reply;
@@ -848,6 +853,7 @@
   uint64_t m_LastCheckIn = 0;
   uint64_t m_LastSession = 0;
   uint64_t m_LastRequest = 0;
+  uint64_t m_LastReceipt = 0;
   uint64_t m_Steps = 0;
 };
 
--- a/tests/session/SessionHarness.h
+++ b/tests/session/SessionHarness.h
@@ -24,6 +24,8 @@
   std::optional<SessionError> m_ForcedError;
   /// Executes statements but never sends the replies.
   bool m_DropsReplies = false;
+  /// Delays after which each reply is sent once more.
+  std::vector<Duration> m_Repeats;
   /// Delay of each reply.
   Duration m_Latency = milliseconds(10);
   /// All received statements, in order.
@@ -191,6 +193,10 @@
       std::visit([&](const auto &Typed) { on(Typed); }, Action);
   }
 
+  /// Identifier of the request that was sent last.
+  std::string lastRequest() const {
+    return "r" + std::to_string(m_LastRequest);
+  }
   /// Returns how many statements of a kind an instance received.
   size_t receivedCount(size_t Index, StatementKind Kind) {
     size_t Count = 0;
@@ -233,6 +239,8 @@
     std::set<std::string> m_Prepared;
   };
   std::map<ConnectionId, OpenConnection> m_Connections;
+  /// How often instances executed each single write, by its request.
+  std::map<std::string, int> m_ExecutedWrites;
   /// Called for each caller's statement that an instance receives.
   std::function<void(const OpenConnection &, const Statement &)> m_OnRun;
 
@@ -291,8 +299,13 @@
     StatementReply Reply = replyOf(Instance, Found->second, Action);
     if (Instance.m_DropsReplies)
       return;
-    ConnectionId Id = Action.m_Connection;
-    schedule(Instance.m_Latency, [this, Id, Reply] {
+    scheduleReply(Action.m_Connection, Reply, Instance.m_Latency);
+    for (Duration Delay : Instance.m_Repeats)
+      scheduleReply(Action.m_Connection, Reply, Instance.m_Latency + Delay);
+  }
+  void scheduleReply(ConnectionId Id, const StatementReply &Reply,
+                     Duration After) {
+    schedule(After, [this, Id, Reply] {
       if (m_Connections.contains(Id))
         handle(InstanceReplied{Id, Reply});
     });
@@ -315,6 +328,12 @@
     }
     bool IsWrite = Sent.m_Kind == StatementKind::Write;
     Connection.m_HasWritten |= IsWrite;
+    // Only statements that occupy a slot have a receipt, each its own.
+    bool HasReceipt = IsWrite || Sent.m_Kind == StatementKind::Read ||
+                      Sent.m_Kind == StatementKind::Execute ||
+                      Sent.m_Kind == StatementKind::Commit;
+    if (HasReceipt)
+      Reply.m_Receipt = "receipt " + std::to_string(++m_LastReceipt);
     switch (Sent.m_Kind) {
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
@@ -339,12 +358,13 @@
       Connection.m_Prepared.insert(Sent.m_Name);
       break;
     default:
-      if (IsWrite && Connection.m_State == TransactionState::None)
+      if (IsWrite && Connection.m_State == TransactionState::None) {
         ++Instance.m_Position.m_Index;
-      Reply.m_Rows = {"row"};
+        ++m_ExecutedWrites[Sent.m_RequestId];
+      }
+      Reply.m_Rows = {"row of " + Sent.m_RequestId};
       break;
     }
-    Reply.m_Receipt = "receipt";
     Reply.m_State = Connection.m_State;
     Reply.m_Position = Instance.m_Position;
     return Reply;
@@ -402,6 +422,7 @@
   uint64_t m_PolicyVersion = 0;
   uint64_t m_LastSession = 0;
   uint64_t m_LastRequest = 0;
+  uint64_t m_LastReceipt = 0;
   uint64_t m_Steps = 0;
 };
 
--- a/tests/session/TransactionTest.cpp
+++ b/tests/session/TransactionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace almondpier;
 using namespace almondpier::sessiontest;
 
@@ -295,3 +297,37 @@
   CHECK(Harness.m_Closed.contains(Busy));
   CHECK(Harness.m_IsShutDown);
 }
+
+// UNASKED: the shape "q2a READ ctqkiau" made the name "r_q2a READ ctqkiau", so
+// that an instance ran r_q2a with an item that nobody had sent.
+TEST_CASE("session: the shape of a prepared statement does not become part of "
+          "its name at instances") {
+  std::set<std::string> Names;
+  for (const char *Shape :
+       {"q2a READ ctqkiau", "q2a", " ", "q\nx", "p1", "q 2", "q  2"}) {
+    SessionHarness Harness;
+    SessionId Id = Harness.open("primary");
+    REQUIRE(
+        !Harness.sendAndWait(Id, SessionHarness::prepare("s4", Shape)).m_Error);
+    REQUIRE(!Harness.sendAndWait(Id, SessionHarness::execute("s4")).m_Error);
+    std::string Prepared;
+    for (const Statement &Received : Harness.instance(0).m_Received) {
+      if (Received.m_Kind != StatementKind::Prepare &&
+          Received.m_Kind != StatementKind::Execute)
+        continue;
+      INFO("shape '" << Shape << "', name '" << Received.m_Name << "'");
+      CHECK(std::all_of(Received.m_Name.begin(), Received.m_Name.end(),
+                        [](char Character) {
+                          return (Character >= 'a' && Character <= 'z') ||
+                                 (Character >= '0' && Character <= '9');
+                        }));
+      if (Received.m_Kind == StatementKind::Prepare) {
+        CHECK(Received.m_Argument == Shape);
+        Prepared = Received.m_Name;
+      } else {
+        CHECK(Received.m_Name == Prepared);
+      }
+    }
+    CHECK_FALSE(Prepared.empty());
+  }
+}
