End a line only at a carriage return and a line feed

Cause: LineStream searched with EVBUFFER_EOL_CRLF, for which a line feed alone is an end. Class: a byte of a field is taken for framing. The search is now for both bytes, and begins where the last one ended, so that a line of 1 MiB in many pieces is searched once.

Ruled out: EVBUFFER_EOL_CRLF_STRICT does the same, but searches from the start of the line at each piece.

--- a/src/net/LineStream.cpp
+++ b/src/net/LineStream.cpp
@@ -4,12 +4,17 @@
 
 namespace almondpier {
 
+static constexpr std::string_view kLineEnd = "\r\n";
+
 struct LineStream::State {
   BuffereventHandle m_Connection;
   Callbacks m_Callbacks;
   Limits m_Limits;
   bool m_IsClosing = false;
   bool m_IsFinished = false;
+  /// Bytes at the start of the input that hold no end of a line, so that a line
+  /// that arrives in many pieces is searched only once.
+  size_t m_SearchedBytes = 0;
 
   void adopt(bufferevent *Connection) {
     m_Connection.reset(Connection);
@@ -35,21 +40,41 @@
     detectSilence(Socket, m_Limits.m_TcpUserTimeoutMs);
   }
 
+  /// Returns the length of the first line if its end has arrived. A line feed
+  /// or a carriage return alone is part of the text.
+  std::optional<size_t> findLineEnd(evbuffer *Input) {
+    evbuffer_ptr From;
+    if (evbuffer_ptr_set(Input, &From, m_SearchedBytes, EVBUFFER_PTR_SET) != 0)
+      return std::nullopt;
+    evbuffer_ptr End =
+        evbuffer_search(Input, kLineEnd.data(), kLineEnd.size(), &From);
+    if (End.pos >= 0)
+      return static_cast<size_t>(End.pos);
+    size_t Arrived = evbuffer_get_length(Input);
+    char Last = '\0';
+    evbuffer_ptr LastAt;
+    bool EndsInPart =
+        Arrived > 0 &&
+        evbuffer_ptr_set(Input, &LastAt, Arrived - 1, EVBUFFER_PTR_SET) == 0 &&
+        evbuffer_copyout_from(Input, &LastAt, &Last, 1) == 1 &&
+        Last == kLineEnd.front();
+    m_SearchedBytes = EndsInPart ? Arrived - 1 : Arrived;
+    return std::nullopt;
+  }
+
   void read() {
     evbuffer *Input = bufferevent_get_input(m_Connection.get());
     while (!m_IsClosing && !m_IsFinished) {
-      size_t Length = 0;
-      evbuffer_ptr End =
-          evbuffer_search_eol(Input, nullptr, &Length, EVBUFFER_EOL_CRLF);
-      size_t Bytes = End.pos < 0 ? evbuffer_get_length(Input)
-                                 : static_cast<size_t>(End.pos);
+      std::optional<size_t> End = findLineEnd(Input);
+      size_t Bytes = End ? *End : m_SearchedBytes;
       if (Bytes > m_Limits.m_MaxLineBytes)
         return fail("a line exceeds the size limit");
-      if (End.pos < 0)
+      if (!End)
         return;
       std::string Line(Bytes, '\0');
       evbuffer_remove(Input, Line.data(), Bytes);
-      evbuffer_drain(Input, Length);
+      evbuffer_drain(Input, kLineEnd.size());
+      m_SearchedBytes = 0;
       if (m_Callbacks.m_OnLine)
         m_Callbacks.m_OnLine(Line);
     }
