Name prepared statements at instances by a number

Callers prepared the shape "q2a READ ctqkiau" and executed it; the instance ran EXECUTE r_q2a READ ctqkiau #, which is another statement with another item.

Cause: the name of a prepared statement at instances was its shape with a prefix. The shape is the last field of its line and may hold separators, the name is not. Class: text of a caller becomes a name of the proxy. Names are now p1, p2, ... by connection, and a connection keeps which content has which name. No name comes twice on a connection, also after a reset. A connection with 256 prepared statements is reset before its next use; before, nothing limited them.

Ruled out: escaping the shape, which lets a long shape make a name too long for a line; a hash of the shape, which a caller can choose to collide.

--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -25,6 +25,15 @@
   RollingBack,
 };
 
+/// Content of a prepared statement, without its name.
+struct PreparedStatement {
+  bool m_IsWrite = false;
+  std::string m_Template;
+
+  friend auto operator<=>(const PreparedStatement &,
+                          const PreparedStatement &) = default;
+};
+
 struct InstanceConnection {
   ConnectionId m_Id;
   InstanceName m_Instance;
@@ -49,7 +58,12 @@
   /// reset before the next transaction.
   bool m_NeedsReset = false;
   std::map<std::string, std::string> m_Variables;
-  std::set<std::string> m_Prepared;
+  /// Names of the statements that are prepared on the connection. Sessions that
+  /// use different names for one statement, or one name for different
+  /// statements, can share connections.
+  std::map<PreparedStatement, std::string> m_Prepared;
+  /// Number of names given on the connection. No name is used twice.
+  uint64_t m_PreparedNames = 0;
 };
 
 class InstanceConnectionPool {
--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -15,11 +15,6 @@
   Time m_ReceivedAt;
 };
 
-struct PreparedStatement {
-  bool m_IsWrite = false;
-  std::string m_Template;
-};
-
 /// Which instances may run a statement.
 enum class StatementTarget : uint8_t {
   /// The primary. A former primary rejects such a statement itself.
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -30,6 +30,9 @@
 /// Opening a connection takes two round trips and some work at the instance,
 /// which may be queued behind a dozen statements.
 constexpr Duration kConnectTimeout = milliseconds(400);
+/// A connection with this many prepared statements is reset before its next
+/// use, which limits the memory of the host and of the instance.
+constexpr size_t kMaxPreparedOnConnection = 256;
 constexpr Duration kCloseExcessInterval = milliseconds(200);
 constexpr Duration kReportInterval = milliseconds(100);
 
@@ -44,13 +47,6 @@
   return Result;
 }
 
-/// Name of a prepared statement at instances. It is derived from the content of
-/// the statement, so that sessions that use different names for one statement,
-/// or one name for different statements, can share connections.
-std::string preparedNameOf(const PreparedStatement &Prepared) {
-  return (Prepared.m_IsWrite ? "w_" : "r_") + Prepared.m_Template;
-}
-
 } // namespace
 
 // Dispatch.
@@ -312,7 +308,8 @@
                   [&](const std::pair<const std::string, std::string> &Entry) {
                     return !Session.m_Variables.contains(Entry.first);
                   });
-  if ((HasOtherVariables || Connection.m_NeedsReset) &&
+  if ((HasOtherVariables || Connection.m_NeedsReset ||
+       Connection.m_Prepared.size() >= kMaxPreparedOnConnection) &&
       !Connection.m_InTransaction) {
     m_Pool.send(Connection, ConnectionState::Resetting,
                 makeProxyStatement(StatementKind::Reset), std::nullopt, Now);
@@ -334,11 +331,11 @@
     return true;
   const PreparedStatement &Prepared =
       Session.m_Prepared.at(CallerStatement.m_Name);
-  std::string Name = preparedNameOf(Prepared);
-  if (Connection.m_Prepared.contains(Name))
+  if (Connection.m_Prepared.contains(Prepared))
     return true;
   Statement Prepare = makeProxyStatement(StatementKind::Prepare);
-  Prepare.m_Name = Name;
+  // The name holds nothing of the caller: a template may contain separators.
+  Prepare.m_Name = "p" + std::to_string(++Connection.m_PreparedNames);
   Prepare.m_Argument = Prepared.m_Template;
   Prepare.m_IsWrite = Prepared.m_IsWrite;
   m_Pool.send(Connection, ConnectionState::Preparing, std::move(Prepare),
@@ -410,7 +407,7 @@
   Statement CallerStatement = Pending.m_Received.m_Statement;
   if (CallerStatement.m_Kind == StatementKind::Execute) {
     CallerStatement.m_Name =
-        preparedNameOf(Session.m_Prepared.at(CallerStatement.m_Name));
+        Connection.m_Prepared.at(Session.m_Prepared.at(CallerStatement.m_Name));
     CallerStatement.m_Text.clear();
   }
   Pending.m_IsSent = true;
@@ -507,7 +504,9 @@
     Connection.m_NeedsReset |= Connection.m_InTransaction;
     break;
   case ConnectionState::Preparing:
-    Connection.m_Prepared.insert(Connection.m_Sent.m_Name);
+    Connection.m_Prepared[PreparedStatement{Connection.m_Sent.m_IsWrite,
+                                            Connection.m_Sent.m_Argument}] =
+        Connection.m_Sent.m_Name;
     break;
   default:
     break;
