Give a reply only to the statement that it can belong to

Callers got rows and receipts of other statements, writes ran twice, and writes that ran were refused as not run, when an instance sent a reply twice.

Cause: replies carry no identifier, and each complete reply was given to the statement that was outstanding on its connection; one that came while none was released the connection, also from an open transaction. A READY without a result counted as a success. Class: position in a stream is taken for identity. Now what a reply carries decides (checkReply): a receipt comes only once on a connection and only for statements that an instance executes, the transaction state must follow, and a rejection that the connection had before is confirmed by a reset before anybody is told.

--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -34,6 +34,7 @@
   std::string m_Row;
 };
 struct CompleteLine {
+  /// Empty when the instance confirms the statement without a receipt.
   std::string m_Receipt;
 };
 struct ErrorLine {
@@ -120,12 +121,15 @@
   struct Instance {
     std::unique_ptr<LineStream> m_Stream;
     bool m_IsConnected = false;
+    /// The result of the reply that is arriving; the state is still to come.
+    bool m_HasResult = false;
     StatementReply m_Reply;
   };
 
   void accept(std::unique_ptr<LineStream> Stream);
   void onCallerLine(SessionId Id, std::string_view Line);
   void onInstanceLine(ConnectionId Id, std::string_view Line);
+  void onInstanceReady(ConnectionId Id, Instance &Peer, const ReadyLine &Ready);
   void closeCaller(SessionId Id);
   void tick();
   void dispatch(SessionEvent Event);
--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -161,6 +161,8 @@
 }
 
 void InstanceConnectionPool::release(InstanceConnection &Connection, Time Now) {
+  if (Connection.m_IsRetiring)
+    return close(Connection.m_Id);
   Connection.m_State = ConnectionState::Idle;
   Connection.m_Session.reset();
   Connection.m_InTransaction = false;
--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -3,28 +3,12 @@
 #pragma once
 
 #include "decision/session/GroupTracker.h"
+#include "decision/session/ReplyCheck.h"
 
 #include <unordered_map>
 
 namespace almondpier {
 
-/// State of a connection. All states but Idle and Pinned wait for input from
-/// the instance.
-enum class ConnectionState : uint8_t {
-  Connecting,
-  Idle,
-  /// Held by an open transaction, between two statements.
-  Pinned,
-  Resetting,
-  SettingVariable,
-  Preparing,
-  Beginning,
-  /// Executes a statement of the caller.
-  Executing,
-  /// Rolls back a transaction whose session no longer waits for the reply.
-  RollingBack,
-};
-
 /// Content of a prepared statement, without its name.
 struct PreparedStatement {
   bool m_IsWrite = false;
@@ -34,6 +18,15 @@
                           const PreparedStatement &) = default;
 };
 
+/// A rejection that may be a copy of an earlier one, until it is confirmed.
+struct UnconfirmedRejection {
+  StatementReply m_Reply;
+  /// State of the connection when it arrived.
+  ConnectionState m_State = ConnectionState::Executing;
+  /// The statement that it seems to answer.
+  Statement m_Statement;
+};
+
 struct InstanceConnection {
   ConnectionId m_Id;
   InstanceName m_Instance;
@@ -64,6 +57,11 @@
   std::map<PreparedStatement, std::string> m_Prepared;
   /// Number of names given on the connection. No name is used twice.
   uint64_t m_PreparedNames = 0;
+  ReplyHistory m_Replies;
+  std::optional<UnconfirmedRejection> m_Unconfirmed;
+  /// The instance sent a reply that no statement explains. The connection is
+  /// closed instead of being used again.
+  bool m_IsRetiring = false;
 };
 
 class InstanceConnectionPool {
@@ -93,6 +91,8 @@
   void send(InstanceConnection &Connection, ConnectionState State,
             Statement Sent, const std::optional<Position> &MinPosition,
             Time Now);
+  /// Makes the connection available to other statements, or closes it when it
+  /// is retiring.
   void release(InstanceConnection &Connection, Time Now);
   /// Closes and removes a connection; the instance rolls back its open
   /// transaction.
--- a/src/decision/session/SessionEvents.cpp
+++ b/src/decision/session/SessionEvents.cpp
@@ -42,6 +42,10 @@
   switch (Defect) {
   case ReplyDefect::InvalidLine:
     return "an invalid line";
+  case ReplyDefect::NoResult:
+    return "no result";
+  case ReplyDefect::Repeated:
+    return "a reply once more";
   case ReplyDefect::Unrequested:
     return "a reply that no statement waits for";
   }
--- a/src/decision/session/SessionEvents.h
+++ b/src/decision/session/SessionEvents.h
@@ -86,9 +86,14 @@
 /// Why a reply of an instance cannot be the reply to the statement that is
 /// outstanding on its connection.
 enum class ReplyDefect : uint8_t {
-  /// A line is none of the protocol.
+  /// A line is none of the protocol, or not one that may follow the line
+  /// before.
   InvalidLine,
-  /// No statement was outstanding.
+  /// The instance is ready again without a result.
+  NoResult,
+  /// The connection had this reply before.
+  Repeated,
+  /// It does not fit the statement that was outstanding, if there was one.
   Unrequested,
 };
 std::string_view nameOf(ReplyDefect Defect);
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -493,6 +493,7 @@
     return;
   switch (Connection.m_State) {
   case ConnectionState::Resetting:
+  case ConnectionState::Confirming:
     Connection.m_Variables.clear();
     Connection.m_Prepared.clear();
     Connection.m_NeedsReset = false;
@@ -515,8 +516,18 @@
 
 void StatementExecutor::reportDefect(const InstanceConnection &Connection,
                                      ReplyDefect Defect) {
-  ++(Defect == ReplyDefect::Unrequested ? m_UnrequestedReplies
-                                        : m_InvalidReplies);
+  switch (Defect) {
+  case ReplyDefect::InvalidLine:
+  case ReplyDefect::NoResult:
+    ++m_InvalidReplies;
+    break;
+  case ReplyDefect::Repeated:
+    ++m_RepeatedReplies;
+    break;
+  case ReplyDefect::Unrequested:
+    ++m_UnrequestedReplies;
+    break;
+  }
   auto Found = Connection.m_Session
                    ? m_Sessions.find(Connection.m_Session->m_Value)
                    : m_Sessions.end();
@@ -534,8 +545,15 @@
   InstanceConnection *Connection = m_Pool.find(Event.m_Connection);
   if (Connection == nullptr)
     return;
+  m_Tracker.onInputReceived(Connection->m_Instance, Now);
   reportDefect(*Connection, Event.m_Defect);
-  onClosed(Event.m_Connection, Now);
+  // Every reply has a result, so this is none. The next one may be.
+  if (Event.m_Defect == ReplyDefect::NoResult) {
+    Connection->m_IsRetiring = true;
+    return;
+  }
+  dropConnection(Event.m_Connection,
+                 "sent " + std::string(nameOf(Event.m_Defect)), Now);
 }
 
 void StatementExecutor::onReplied(const InstanceReplied &Event, Time Now) {
@@ -543,47 +561,129 @@
   if (Connection == nullptr)
     return;
   m_Tracker.onInputReceived(Connection->m_Instance, Now);
-  if (Connection->m_State == ConnectionState::Idle ||
-      Connection->m_State == ConnectionState::Pinned)
-    reportDefect(*Connection, ReplyDefect::Unrequested);
   const StatementReply &Reply = Event.m_Reply;
+  if (Connection->m_State == ConnectionState::Confirming)
+    return onConfirmationReplied(*Connection, Reply, Now);
+  ExpectedReply Expected{Connection->m_State, Connection->m_Sent.m_Kind,
+                         Connection->m_InTransaction};
+  ReplyVerdict Verdict = checkReply(Expected, Connection->m_Replies, Reply);
+  Connection->m_Replies.add(Reply);
+  switch (Verdict) {
+  case ReplyVerdict::Own:
+    return onOwnReply(*Connection, Reply, Now);
+  case ReplyVerdict::Repeated:
+    return reportDefect(*Connection, ReplyDefect::Repeated);
+  case ReplyVerdict::Foreign:
+    return onForeignReply(*Connection, Reply, Now);
+  case ReplyVerdict::Ambiguous:
+    return confirmRejection(*Connection, Reply, Now);
+  }
+}
+
+void StatementExecutor::onForeignReply(InstanceConnection &Connection,
+                                       const StatementReply &Reply, Time Now) {
+  reportDefect(Connection, ReplyDefect::Unrequested);
+  // Copies of replies without receipt cannot be recognised and are harmless:
+  // they answer statements that the proxy issued itself.
+  bool HasContent =
+      Reply.m_Error || !Reply.m_Receipt.empty() || !Reply.m_Rows.empty();
+  if (!HasContent)
+    return;
+  Connection.m_IsRetiring = true;
+  if (Connection.m_State == ConnectionState::Idle ||
+      Connection.m_State == ConnectionState::Pinned)
+    dropConnection(Connection.m_Id,
+                   "sent " + std::string(nameOf(ReplyDefect::Unrequested)),
+                   Now);
+}
+
+void StatementExecutor::confirmRejection(InstanceConnection &Connection,
+                                         const StatementReply &Reply,
+                                         Time Now) {
+  ConnectionState State = Connection.m_State;
+  bool IsOfCaller = State == ConnectionState::Executing ||
+                    State == ConnectionState::Beginning;
+  // A reset is not possible inside a transaction, which the loss of the
+  // connection rolls back.
+  if (Connection.m_InTransaction || !IsOfCaller || !Connection.m_Session)
+    return dropConnection(Connection.m_Id, "sent a rejection twice", Now);
+  ++m_ConfirmedRejections;
+  Connection.m_Unconfirmed =
+      UnconfirmedRejection{Reply, State, Connection.m_Sent};
+  m_Pool.send(Connection, ConnectionState::Confirming,
+              makeProxyStatement(StatementKind::Reset), std::nullopt, Now);
+}
+
+void StatementExecutor::onConfirmationReplied(InstanceConnection &Connection,
+                                              const StatementReply &Reply,
+                                              Time Now) {
+  const ReplyHistory &History = Connection.m_Replies;
+  ExpectedReply Reset{ConnectionState::Confirming, StatementKind::Reset, false};
+  ReplyVerdict Verdict = checkReply(Reset, History, Reply);
+  if (Verdict == ReplyVerdict::Repeated)
+    return reportDefect(Connection, ReplyDefect::Repeated);
+  UnconfirmedRejection Rejection =
+      *std::exchange(Connection.m_Unconfirmed, std::nullopt);
+  if (Verdict == ReplyVerdict::Own) {
+    recordReply(Connection, Reply);
+    Connection.m_State = Rejection.m_State;
+    Connection.m_Sent = Rejection.m_Statement;
+    return onOwnReply(Connection, Rejection.m_Reply, Now);
+  }
+  ExpectedReply Answered{Rejection.m_State, Rejection.m_Statement.m_Kind,
+                         false};
+  bool IsTrueReply = Rejection.m_State == ConnectionState::Executing &&
+                     checkReply(Answered, History, Reply) == ReplyVerdict::Own;
+  if (!IsTrueReply)
+    return dropConnection(Connection.m_Id, "sent a rejection twice", Now);
+  // The rejection was a copy, and this is the reply. That to the reset is still
+  // to come.
+  reportDefect(Connection, ReplyDefect::Repeated);
+  Connection.m_IsRetiring = true;
+  Connection.m_State = Rejection.m_State;
+  Connection.m_Sent = Rejection.m_Statement;
+  onOwnReply(Connection, Reply, Now);
+}
+
+void StatementExecutor::onOwnReply(InstanceConnection &Connection,
+                                   const StatementReply &Reply, Time Now) {
   bool IsRefused = Reply.m_Error.has_value();
-  if (!IsRefused && Connection->m_State == ConnectionState::Executing)
-    m_Tracker.onStatementSucceeded(Connection->m_Instance);
+  if (!IsRefused && Connection.m_State == ConnectionState::Executing)
+    m_Tracker.onStatementSucceeded(Connection.m_Instance);
   if (IsRefused)
-    recordError(*Connection, *Reply.m_Error, Now);
-  recordReply(*Connection, Reply);
-  auto Found = Connection->m_Session
-                   ? m_Sessions.find(Connection->m_Session->m_Value)
+    recordError(Connection, *Reply.m_Error, Now);
+  recordReply(Connection, Reply);
+  auto Found = Connection.m_Session
+                   ? m_Sessions.find(Connection.m_Session->m_Value)
                    : m_Sessions.end();
   bool IsAwaited = Found != m_Sessions.end() && Found->second.m_Pending &&
-                   Found->second.m_Pending->m_Connection == Connection->m_Id;
-  ConnectionState State = Connection->m_State;
+                   Found->second.m_Pending->m_Connection == Connection.m_Id;
+  ConnectionState State = Connection.m_State;
   if (State == ConnectionState::RollingBack) {
-    if (IsRefused || Connection->m_InTransaction)
-      return m_Pool.close(Connection->m_Id);
-    return m_Pool.release(*Connection, Now);
+    if (IsRefused || Connection.m_InTransaction)
+      return m_Pool.close(Connection.m_Id);
+    return m_Pool.release(Connection, Now);
   }
   if (!IsAwaited)
-    return onUnclaimedReply(*Connection, IsRefused, Now);
+    return onUnclaimedReply(Connection, IsRefused, Now);
   CallerSession &Session = Found->second;
   if (State == ConnectionState::Executing) {
-    m_Tracker.recordLatency(Connection->m_Instance, Now - Connection->m_SentAt,
+    m_Tracker.recordLatency(Connection.m_Instance, Now - Connection.m_SentAt,
                             Now);
-    return onStatementReplied(Session, *Connection, Reply, Now);
+    return onStatementReplied(Session, Connection, Reply, Now);
   }
   if (State == ConnectionState::Beginning)
-    return onBeginReplied(Session, *Connection, Reply, Now);
+    return onBeginReplied(Session, Connection, Reply, Now);
   if (!IsRefused)
-    return sendNext(Session, *Connection, Now);
+    return sendNext(Session, Connection, Now);
   // The state of the connection is unknown after a failed preparatory
   // statement.
-  InstanceName Instance = Connection->m_Instance;
+  InstanceName Instance = Connection.m_Instance;
   std::string Reason =
       "rejected a statement that prepares the connection: " + Reply.m_ErrorText;
   if (Session.m_StatementsRun > 0)
-    return onClosed(Connection->m_Id, Now);
-  m_Pool.close(Connection->m_Id);
+    return onClosed(Connection.m_Id, Now);
+  m_Pool.close(Connection.m_Id);
   Session.m_PinnedConnection.reset();
   retry(Session, Instance, Reason, SessionError::Busy, Now);
 }
@@ -710,16 +810,23 @@
 }
 
 void StatementExecutor::onClosed(ConnectionId Id, Time Now) {
-  InstanceConnection *Connection = m_Pool.find(Id);
+  const InstanceConnection *Connection = m_Pool.find(Id);
   if (Connection == nullptr)
     return;
   InstanceName Instance = Connection->m_Instance;
-  std::optional<SessionId> Owner = Connection->m_Session;
   bool WasIdle = Connection->m_State == ConnectionState::Idle;
   Time SentAt = Connection->m_SentAt;
-  m_Pool.close(Id);
   if (!WasIdle)
     m_Tracker.onUnreachable(Instance, SentAt, Now);
+  dropConnection(Id, "closed the connection or stopped responding", Now);
+}
+
+void StatementExecutor::dropConnection(ConnectionId Id,
+                                       const std::string &Reason, Time Now) {
+  const InstanceConnection *Connection = m_Pool.find(Id);
+  InstanceName Instance = Connection->m_Instance;
+  std::optional<SessionId> Owner = Connection->m_Session;
+  m_Pool.close(Id);
   auto Found = Owner ? m_Sessions.find(Owner->m_Value) : m_Sessions.end();
   if (Found == m_Sessions.end())
     return;
@@ -737,9 +844,7 @@
       Session.m_StatementsRun == 0 &&
       !endsTransaction(Session.m_Pending->m_Received.m_Statement);
   if (CanRetry)
-    return retry(Session, Instance,
-                 "closed the connection or stopped responding",
-                 SessionError::Aborted, Now);
+    return retry(Session, Instance, Reason, SessionError::Aborted, Now);
   fail(Session, errorAfterConnectionLoss(Session),
        "the connection to " + Instance.m_Value + " is lost");
 }
@@ -979,6 +1084,12 @@
       {"almondpier_instance_unrequested_replies_total",
        "Replies of instances that no statement waited for",
        static_cast<double>(m_UnrequestedReplies)},
+      {"almondpier_instance_repeated_replies_total",
+       "Replies of instances that came once more",
+       static_cast<double>(m_RepeatedReplies)},
+      {"almondpier_rejections_confirmed_total",
+       "Rejections that could be copies and were confirmed by a reset",
+       static_cast<double>(m_ConfirmedRejections)},
       {"almondpier_instances_ramping",
        "Instances whose load is being raised after a start or a return",
        static_cast<double>(m_Tracker.rampingCount())},
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -116,6 +116,21 @@
                           const StatementReply &Reply);
   void onUnclaimedReply(InstanceConnection &Connection, bool IsRefused,
                         Time Now);
+  /// Passes a reply that answers the outstanding statement on to it.
+  void onOwnReply(InstanceConnection &Connection, const StatementReply &Reply,
+                  Time Now);
+  /// A reply arrived that does not answer the outstanding statement.
+  void onForeignReply(InstanceConnection &Connection,
+                      const StatementReply &Reply, Time Now);
+  /// A rejection arrived that may be a copy. The statement is not answered
+  /// before its true reply is known.
+  void confirmRejection(InstanceConnection &Connection,
+                        const StatementReply &Reply, Time Now);
+  void onConfirmationReplied(InstanceConnection &Connection,
+                             const StatementReply &Reply, Time Now);
+  /// Closes the connection, whose instance can be reached, and retries or fails
+  /// the statement that runs on it.
+  void dropConnection(ConnectionId Id, const std::string &Reason, Time Now);
   /// Counts and logs a defective reply with the instance, the connection and
   /// the request that was outstanding.
   void reportDefect(const InstanceConnection &Connection, ReplyDefect Defect);
@@ -174,6 +189,8 @@
   uint64_t m_OverloadRejections = 0;
   uint64_t m_InvalidReplies = 0;
   uint64_t m_UnrequestedReplies = 0;
+  uint64_t m_RepeatedReplies = 0;
+  uint64_t m_ConfirmedRejections = 0;
   /// Statements rejected on arrival because of the queue before them.
   uint64_t m_QueueRejections = 0;
   /// Transactions rolled back because their zone was evacuated.
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -101,27 +101,43 @@
     return;
   Instance &Peer = Found->second;
   InstanceLine Parsed = Format::parseInstanceLine(Line);
+  // A reply is any number of rows, one result and the state.
+  bool IsExpected =
+      std::holds_alternative<ReadyLine>(Parsed) ||
+      (!Peer.m_HasResult &&
+       (std::holds_alternative<ErrorLine>(Parsed) ||
+        (Peer.m_IsConnected && !std::holds_alternative<InvalidLine>(Parsed))));
+  if (!IsExpected)
+    return dispatch(InstanceReplyInvalid{Id, ReplyDefect::InvalidLine});
   if (RowLine *Row = std::get_if<RowLine>(&Parsed)) {
     Peer.m_Reply.m_Rows.push_back(std::move(Row->m_Row));
   } else if (CompleteLine *Complete = std::get_if<CompleteLine>(&Parsed)) {
+    Peer.m_HasResult = true;
     Peer.m_Reply.m_Receipt = std::move(Complete->m_Receipt);
   } else if (ErrorLine *Failure = std::get_if<ErrorLine>(&Parsed)) {
     if (!Peer.m_IsConnected)
       return dispatch(InstanceRefused{Id, Failure->m_Error});
+    Peer.m_HasResult = true;
     Peer.m_Reply.m_Error = Failure->m_Error;
     Peer.m_Reply.m_ErrorText = std::move(Failure->m_Text);
   } else if (ReadyLine *Ready = std::get_if<ReadyLine>(&Parsed)) {
-    if (!Peer.m_IsConnected) {
-      Peer.m_IsConnected = true;
-      return dispatch(InstanceConnected{Id, Ready->m_Position});
-    }
-    StatementReply Reply = std::exchange(Peer.m_Reply, StatementReply());
-    Reply.m_State = Ready->m_State;
-    Reply.m_Position = Ready->m_Position;
-    dispatch(InstanceReplied{Id, std::move(Reply)});
-  } else {
-    dispatch(InstanceReplyInvalid{Id, ReplyDefect::InvalidLine});
+    onInstanceReady(Id, Peer, *Ready);
+  }
+}
+
+template <LineFormat Format>
+void SessionServer<Format>::onInstanceReady(ConnectionId Id, Instance &Peer,
+                                            const ReadyLine &Ready) {
+  if (!Peer.m_IsConnected) {
+    Peer.m_IsConnected = true;
+    return dispatch(InstanceConnected{Id, Ready.m_Position});
   }
+  StatementReply Reply = std::exchange(Peer.m_Reply, StatementReply());
+  if (!std::exchange(Peer.m_HasResult, false))
+    return dispatch(InstanceReplyInvalid{Id, ReplyDefect::NoResult});
+  Reply.m_State = Ready.m_State;
+  Reply.m_Position = Ready.m_Position;
+  dispatch(InstanceReplied{Id, std::move(Reply)});
 }
 
 template <LineFormat Format>
@@ -160,7 +176,7 @@
          dispatch(ConnectionClosed{Id});
        }});
   Stream->write(Format::formatOpen(Action));
-  m_Instances[Id.m_Value] = Instance{std::move(Stream), false, {}};
+  m_Instances[Id.m_Value] = Instance{std::move(Stream), false, false, {}};
 }
 
 template <LineFormat Format>
