Refuse what does not fit a message, and count all of its fields

A read of nearly the largest size got a position on its way and was longer than an instance accepts.

Cause: the size was checked for the first statement only, and not all fields of a message were counted; encode() throws, which ends the process. Class: a lawful length of a field is not passed on. Such a statement is now refused with "too large", and its transaction, whose state at the owner is then rolled back, has failed. A result that does not fit is refused as too large for a read, and is in doubt for a write or commit, which ran. The text of an error is cut instead of replacing its code. Values and prepared statements of a session have 256 KB together; nothing limited their size before.

Weighed: splitting messages between hosts, which passes all sizes and needs a second protocol for hosts of earlier builds.

--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -13,6 +13,13 @@
 /// Maximum number of variables, and of prepared statements, per session; limits
 /// the memory of a session.
 constexpr size_t kMaxNamesPerSession = 256;
+/// Maximum size of the variables and prepared statements of a session, which
+/// travel with its statements to the owner of a group.
+constexpr size_t kMaxStateBytesPerSession = 256U << 10U;
+/// Maximum size of a statement that the proxy extends on its way, by the
+/// minimum position of a read or by the name of a prepared statement. With the
+/// extension it fits the largest message of an instance.
+constexpr size_t kMaxExtendedBytes = (1U << 20U) - 128;
 constexpr Duration kTimeoutCheckInterval = milliseconds(50);
 /// Fraction of the shutdown grace period in which new sessions are still
 /// accepted: the load balancer probes readiness every second and needs two
@@ -30,6 +37,24 @@
       static_cast<int64_t>(static_cast<double>(Total.count()) * Fraction));
 }
 
+/// Returns whether a new variable or prepared statement, which replaces
+/// Replaced bytes, fits into the session.
+bool fitsState(const CallerSession &Session, const Statement &Added,
+               size_t Replaced) {
+  size_t Bytes = Added.m_Name.size() + Added.m_Argument.size();
+  for (const auto &[Name, Value] : Session.m_Variables)
+    Bytes += Name.size() + Value.size();
+  for (const auto &[Name, Prepared] : Session.m_Prepared)
+    Bytes += Name.size() + Prepared.m_Template.size();
+  return Bytes - Replaced <= kMaxStateBytesPerSession;
+}
+
+/// Returns whether the proxy may have to extend the statement.
+bool isExtended(const Statement &Statement) {
+  return Statement.m_Kind == StatementKind::Read ||
+         Statement.m_Kind == StatementKind::Execute;
+}
+
 CallerRequestId tokenRequestOf(const CallerSession &Session) {
   return CallerRequestId{Session.m_Id.m_Value};
 }
@@ -284,6 +309,13 @@
                         DataStatement.m_Name, Now);
     DataStatement.m_IsWrite = Prepared->second.m_IsWrite;
   }
+  if (isExtended(DataStatement) &&
+      DataStatement.m_RequestId.size() + DataStatement.m_Text.size() >
+          kMaxExtendedBytes) {
+    abortTransaction(Session, Now);
+    return replyError(Session, SessionError::TooLarge,
+                      "the statement is too large", Now);
+  }
   bool IsAutocommit = Session.m_State == TransactionState::None;
   setPending(Session, std::move(Received), Now);
   std::optional<SessionError> Refusal =
@@ -328,10 +360,17 @@
                                          const ReceivedStatement &Received,
                                          Time Now) {
   const Statement &Set = Received.m_Statement;
-  if (Session.m_Variables.size() >= kMaxNamesPerSession &&
-      !Session.m_Variables.contains(Set.m_Name))
+  auto Known = Session.m_Variables.find(Set.m_Name);
+  bool IsNew = Known == Session.m_Variables.end();
+  if (IsNew && Session.m_Variables.size() >= kMaxNamesPerSession)
     return replyError(Session, SessionError::TooLarge,
                       "the session has too many variables", Now);
+  size_t Replaced = IsNew ? 0 : Set.m_Name.size() + Known->second.size();
+  if (!fitsState(Session, Set, Replaced))
+    return replyError(Session, SessionError::TooLarge,
+                      "the variables and prepared statements of the session "
+                      "are too large",
+                      Now);
   // The variable is set on a connection before the next statement of the
   // session that runs on it.
   Session.m_Variables[Set.m_Name] = Set.m_Argument;
@@ -340,10 +379,18 @@
 
 void SessionController::startPrepare(CallerSession &Session,
                                      const Statement &Received, Time Now) {
-  if (Session.m_Prepared.size() >= kMaxNamesPerSession &&
-      !Session.m_Prepared.contains(Received.m_Name))
+  auto Known = Session.m_Prepared.find(Received.m_Name);
+  bool IsNew = Known == Session.m_Prepared.end();
+  if (IsNew && Session.m_Prepared.size() >= kMaxNamesPerSession)
     return replyError(Session, SessionError::TooLarge,
                       "the session has too many prepared statements", Now);
+  size_t Replaced =
+      IsNew ? 0 : Received.m_Name.size() + Known->second.m_Template.size();
+  if (!fitsState(Session, Received, Replaced))
+    return replyError(Session, SessionError::TooLarge,
+                      "the variables and prepared statements of the session "
+                      "are too large",
+                      Now);
   Session.m_Prepared[Received.m_Name] =
       PreparedStatement{Received.m_IsWrite, Received.m_Argument};
   replyLocally(Session, Now);
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -86,6 +86,12 @@
 void StatementExecutor::submit(CallerSession &Session, Time Now) {
   m_RetryTokens = std::min(kMaxRetryTokens, m_RetryTokens + kRetryFraction);
   if (Session.m_TransactionOwner) {
+    if (!StatementForwarder::canForward(Session)) {
+      rollBackAtOwner(Session);
+      return fail(Session, SessionError::TooLarge,
+                  "the statement does not fit a message to the host at which "
+                  "the transaction is open");
+    }
     const ForwardTarget Owner = *Session.m_TransactionOwner;
     return sendToOwner(Session, Owner.m_Link, Owner.m_Host, Now);
   }
--- a/src/decision/session/StatementForwarder.cpp
+++ b/src/decision/session/StatementForwarder.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-/// Largest text that is forwarded; leaves room for the other fields of the
-/// message.
+/// Largest sum of variable fields in a message between hosts; leaves room for
+/// the other fields.
 constexpr size_t kMaxForwardedBytes = kMaxMessageBytes / 2;
+/// Bytes that encode the length of a field.
+constexpr size_t kLengthBytes = sizeof(uint32_t);
 /// The owner replies this long before the deadline of the caller, so that the
 /// reply arrives in time. Exceeds the interval at which deadlines are checked.
 constexpr Duration kReplyTransitTime = milliseconds(60);
@@ -38,10 +40,16 @@
 
 bool StatementForwarder::canForward(const CallerSession &Session) {
   const Statement &Sent = Session.m_Pending->m_Received.m_Statement;
-  size_t Bytes = Sent.m_Text.size() + Sent.m_Argument.size() +
-                 Session.m_BeginStatement.m_Text.size();
+  const Statement &Begin = Session.m_BeginStatement;
+  size_t Bytes = Sent.m_RequestId.size() + Sent.m_Name.size() +
+                 Sent.m_Argument.size() + Begin.m_RequestId.size() +
+                 Begin.m_Text.size();
+  if (Sent.m_Kind == StatementKind::Execute)
+    Bytes += Session.m_Prepared.at(Sent.m_Name).m_Template.size();
+  else
+    Bytes += Sent.m_Text.size();
   for (const auto &[Name, Value] : Session.m_Variables)
-    Bytes += Name.size() + Value.size();
+    Bytes += Name.size() + Value.size() + 2 * kLengthBytes;
   return Bytes <= kMaxForwardedBytes;
 }
 
@@ -181,25 +189,32 @@
                                            const StatementReply &Reply) {
   ForwardedStatementReply Result;
   Result.m_Sequence = Session.m_Origin->m_Sequence;
-  size_t Bytes = Reply.m_ErrorText.size();
+  Result.m_State = static_cast<uint8_t>(Reply.m_State);
+  Result.m_Position = Reply.m_Position;
+  Result.m_LastCommit = Session.m_LastCommit;
+  if (Reply.m_Error) {
+    Result.m_Error = static_cast<uint8_t>(*Reply.m_Error);
+    Result.m_ErrorText = Reply.m_ErrorText.substr(0, kMaxForwardedBytes);
+    return Result;
+  }
+  size_t Bytes = Reply.m_Receipt.size();
   for (const std::string &Row : Reply.m_Rows)
-    Bytes += Row.size();
+    Bytes += Row.size() + kLengthBytes;
   if (Bytes > kMaxForwardedBytes) {
-    Result.m_Error = static_cast<uint8_t>(SessionError::TooLarge);
+    const PendingStatement &Pending = *Session.m_Pending;
+    const Statement &Executed = Pending.m_Received.m_Statement;
+    bool MayHaveTakenEffect =
+        (Pending.m_IsAutocommit && isWrite(Executed)) ||
+        (Executed.m_Kind == StatementKind::Commit && Session.m_HasWritten);
+    Result.m_Error =
+        static_cast<uint8_t>(MayHaveTakenEffect ? SessionError::OutcomeUnknown
+                                                : SessionError::TooLarge);
     Result.m_ErrorText = "the result exceeds the size limit of a forwarded "
                          "reply";
-    Result.m_State = static_cast<uint8_t>(Reply.m_State);
-    Result.m_LastCommit = Session.m_LastCommit;
     return Result;
   }
   Result.m_Rows = Reply.m_Rows;
   Result.m_Receipt = Reply.m_Receipt;
-  if (Reply.m_Error)
-    Result.m_Error = static_cast<uint8_t>(*Reply.m_Error);
-  Result.m_ErrorText = Reply.m_ErrorText;
-  Result.m_State = static_cast<uint8_t>(Reply.m_State);
-  Result.m_Position = Reply.m_Position;
-  Result.m_LastCommit = Session.m_LastCommit;
   return Result;
 }
 
--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -368,6 +368,11 @@
   /// statement.
   std::function<void(size_t, const Instance &, const Statement &)>
       m_OnStatement;
+  /// Messages between hosts are encoded, which fails for those that are too
+  /// large.
+  bool m_EncodesMessages = false;
+  /// Number of empty rows that each statement of a caller returns.
+  size_t m_EmptyRows = 0;
   /// Hosts whose messages to FakeControl are lost.
   std::set<size_t> m_CutFromControl;
   /// Hosts that get each reply of FakeControl twice.
@@ -615,7 +620,9 @@
       return;
     if (m_DropsMessage && m_DropsMessage(Index, Peer.first, Action.m_Message))
       return;
-    size_t Bytes = hasCapacityLimits() ? encode(Action.m_Message).size() : 0;
+    size_t Bytes = hasCapacityLimits() || m_EncodesMessages
+                       ? encode(Action.m_Message).size()
+                       : 0;
     deliver(Index, Peer, Bytes, m_Shape.m_HopDelay,
             MessageReceived{Peer.second, Action.m_Message});
   }
@@ -736,6 +743,8 @@
     StatementReply Reply = replyOf(Receiver, Found->second, Action, IsFull);
     if (Kind == StatementKind::Read)
       Reply.m_Rows.emplace_back(Action.m_Statement.m_Text.size(), 'r');
+    if (NeedsSlot && !Reply.m_Error)
+      Reply.m_Rows.resize(Reply.m_Rows.size() + m_EmptyRows);
     std::function<void()> Answer = [this, Key, Reply] {
       schedule(replyArrival(Key.first, Reply) - m_Now, [this, Key, Reply] {
         if (m_Connections.contains(Key))
