--- a/tests/platform/JsonCodecTest.cpp
+++ b/tests/platform/JsonCodecTest.cpp
@@ -94,6 +94,23 @@
   }
 }
 
+// UNASKED: a name with a separator shifts the fields of the line that opens a
+// connection to an instance.
+TEST_CASE("JSON codec: a configuration with a name that cannot be a field of a "
+          "line is rejected") {
+  for (std::string Known : {"\"nypu\"", "\"huvo\""}) {
+    for (std::string Name :
+         {"", "-", " ", "a b", "a\\nb", "a\\r\\nQUERY", "\\t", "a\\u0000"}) {
+      INFO("name '" << Name << "' for " << Known);
+      std::string Text = kConfiguration;
+      for (size_t At = Text.find(Known); At != std::string::npos;
+           At = Text.find(Known))
+        Text.replace(At, Known.size(), "\"" + Name + "\"");
+      CHECK_THROWS_AS(decodeConfiguration(Text, kWindow), Error);
+    }
+  }
+}
+
 TEST_CASE("JSON codec: unknown fields are ignored") {
   CHECK_NOTHROW(decodeConfiguration(
       replaced(R"("version":7)", R"("version":7,"later":{"x":[1]})"), kWindow));
