--- a/tests/platform/LineCodecTest.cpp
+++ b/tests/platform/LineCodecTest.cpp
@@ -108,3 +108,91 @@
       CHECK(LineCodec::formatStatement(*Sent, std::nullopt).ends_with("\r\n"));
   }
 }
+
+namespace {
+
+/// A field of random bytes, which may hold everything but a carriage return
+/// before a line feed. One that is not the last field of its line is not empty
+/// and has no blank.
+std::string randomField(std::mt19937 &Random, bool IsLast) {
+  std::string Field(Random() % 12 + (IsLast ? 0 : 1), '\0');
+  for (char &Character : Field) {
+    constexpr std::string_view kFrequent{"\n\r \0-,=\"", 8};
+    Character = Random() % 2 == 0 ? kFrequent[Random() % kFrequent.size()]
+                                  : static_cast<char>(Random());
+    if (!IsLast && Character == ' ')
+      Character = 'b';
+  }
+  for (size_t End = Field.find("\r\n"); End != std::string::npos;
+       End = Field.find("\r\n"))
+    Field[End] = 'r';
+  return Field;
+}
+
+} // namespace
+
+// UNASKED, MIXED: bytes of a field became framing, a name or another field.
+TEST_CASE("line codec: fields of any bytes reach an instance and a caller "
+          "whole") {
+  std::mt19937 Random(17);
+  for (int Round = 0; Round < 5'000; ++Round) {
+    std::string Id = randomField(Random, false) + "i";
+    std::string Item = randomField(Random, false);
+    std::string Data = randomField(Random, true) + "d";
+    for (const std::string &Text :
+         {"WRITE " + Item + " " + Data, "READ " + Data,
+          "SET " + Item + " " + Data, "PREPARE " + Item + " READ " + Data}) {
+      CallerLine Line = LineCodec::parseCallerLine("QUERY " + Id + " " + Text);
+      const Statement &Sent = std::get<Statement>(Line);
+      CHECK(Sent.m_Kind != StatementKind::Invalid);
+      CHECK(LineCodec::formatStatement(Sent, std::nullopt) ==
+            "QUERY " + Id + " " + Text + "\r\n");
+      // The proxy repeats SET and PREPARE under its own identifier.
+      Statement Repeated = Sent;
+      Repeated.m_Text.clear();
+      Repeated.m_RequestId.clear();
+      if (Sent.m_Kind == StatementKind::SetVariable ||
+          Sent.m_Kind == StatementKind::Prepare)
+        CHECK(LineCodec::formatStatement(Repeated, std::nullopt) ==
+              "QUERY - " + Text + "\r\n");
+    }
+    CallerLine Line = LineCodec::parseCallerLine("QUERY " + Id + " EXECUTE " +
+                                                 Item + " " + Data);
+    Statement Executed = std::get<Statement>(Line);
+    Executed.m_Name = "p1";
+    Executed.m_Text.clear();
+    CHECK(LineCodec::formatStatement(Executed, std::nullopt) ==
+          "QUERY " + Id + " EXECUTE p1 " + Data + "\r\n");
+
+    std::string Row = randomField(Random, true);
+    std::string Receipt = "7." + randomField(Random, true);
+    StatementReply Reply;
+    Reply.m_Rows = {
+        std::get<RowLine>(LineCodec::parseInstanceLine("ROW " + Row)).m_Row};
+    Reply.m_Receipt = std::get<CompleteLine>(
+                          LineCodec::parseInstanceLine("COMPLETE " + Receipt))
+                          .m_Receipt;
+    CHECK(LineCodec::formatReply(Reply) ==
+          "ROW " + Row + "\r\nCOMPLETE " + Receipt + "\r\nREADY I -\r\n");
+  }
+}
+
+TEST_CASE("line codec: a reply without a receipt is told from one with a "
+          "receipt") {
+  CHECK(std::get<CompleteLine>(LineCodec::parseInstanceLine("COMPLETE -"))
+            .m_Receipt.empty());
+  CHECK(LineCodec::formatReply(StatementReply()) ==
+        "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// CONFIG: a key that looks like the placeholder of another field was taken for
+// no key.
+TEST_CASE("line codec: any text is a key, and only its absence is none") {
+  for (const char *Key : {"-", " ", "u3f1 x", "u3\nf1", "\r"}) {
+    CallerLine Line =
+        LineCodec::parseCallerLine(std::string("STARTUP lepu270 ") + Key);
+    CHECK(std::get<OpenLine>(Line).m_Key == digestOfKey(Key));
+  }
+  for (const char *Text : {"STARTUP lepu270", "STARTUP lepu270 "})
+    CHECK(!std::get<OpenLine>(LineCodec::parseCallerLine(Text)).m_Key);
+}
