Confirm a rejection by statements whose replies cannot be mistaken

Cause: copies of replies without receipt look alike, so a single one confirms nothing. A rejection is now believed only when the connection is in step, that is, when the last reply could answer its own statement only, and had no such rejection before. Otherwise a rollback, BEGIN READ and ROLLBACK are sent, whose replies differ in state; any error closes the connection, and so does a rejection at an instance that sent defective replies in the last minute. A connection on which nobody awaits the reply is closed after 2 s. A template or value that an instance refuses as malformed reaches the caller as that error instead of busy. Values and prepared statements of the connection are kept, which the reset dropped.

--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -5,6 +5,7 @@
 #include "decision/session/GroupTracker.h"
 #include "decision/session/ReplyCheck.h"
 
+#include <deque>
 #include <unordered_map>
 
 namespace almondpier {
@@ -18,13 +19,16 @@
                           const PreparedStatement &) = default;
 };
 
-/// A rejection that may be a copy of an earlier one, until it is confirmed.
+/// A rejection that may answer an earlier statement, until it is confirmed.
 struct UnconfirmedRejection {
   StatementReply m_Reply;
   /// State of the connection when it arrived.
   ConnectionState m_State = ConnectionState::Executing;
   /// The statement that it seems to answer.
   Statement m_Statement;
+  bool m_InTransaction = false;
+  /// Statements whose replies confirm it, without the one that was sent last.
+  std::deque<StatementKind> m_Left;
 };
 
 struct InstanceConnection {
@@ -58,6 +62,8 @@
   /// Number of names given on the connection. No name is used twice.
   uint64_t m_PreparedNames = 0;
   ReplyHistory m_Replies;
+  /// The last reply could only answer its own statement.
+  bool m_IsInSync = true;
   std::optional<UnconfirmedRejection> m_Unconfirmed;
   /// The instance sent a reply that no statement explains. The connection is
   /// closed instead of being used again.
--- a/src/decision/session/ReplyCheck.cpp
+++ b/src/decision/session/ReplyCheck.cpp
@@ -25,7 +25,6 @@
   switch (Expected.m_State) {
   case ConnectionState::Resetting:
   case ConnectionState::RollingBack:
-  case ConnectionState::Confirming:
     return TransactionState::None;
   case ConnectionState::SettingVariable:
   case ConnectionState::Preparing:
@@ -34,12 +33,14 @@
   case ConnectionState::Beginning:
     return TransactionState::Open;
   case ConnectionState::Executing:
-    if (!Expected.m_InTransaction)
+    if (!Expected.m_InTransaction || Expected.m_Kind == StatementKind::Commit ||
+        Expected.m_Kind == StatementKind::Rollback)
       return TransactionState::None;
     return std::nullopt;
   case ConnectionState::Connecting:
   case ConnectionState::Idle:
   case ConnectionState::Pinned:
+  case ConnectionState::Confirming:
     return std::nullopt;
   }
   return std::nullopt;
@@ -51,8 +52,17 @@
   // Outside a transaction a rejection leaves none open.
   if (!Expected.m_InTransaction && Reply.m_State != TransactionState::None)
     return ReplyVerdict::Foreign;
-  return History.hasRejection(Reply) ? ReplyVerdict::Ambiguous
-                                     : ReplyVerdict::Own;
+  bool IsExecuting = Expected.m_State == ConnectionState::Executing;
+  if (IsExecuting && Reply.m_Error == SessionError::UnknownStatement &&
+      Expected.m_Kind != StatementKind::Execute)
+    return ReplyVerdict::Foreign;
+  // After a rejection of a statement of its own the proxy closes the
+  // connection.
+  if (!IsExecuting && Expected.m_State != ConnectionState::Beginning)
+    return ReplyVerdict::Own;
+  return !Expected.m_IsInSync || History.hasRejection(Reply)
+             ? ReplyVerdict::Ambiguous
+             : ReplyVerdict::Own;
 }
 
 } // namespace
@@ -62,10 +72,10 @@
 }
 
 void ReplyHistory::Recent::add(uint64_t Hash, size_t Capacity) {
-  if (m_Hashes.size() < Capacity)
-    return m_Hashes.push_back(Hash);
-  m_Hashes[m_Next] = Hash;
-  m_Next = (m_Next + 1) % Capacity;
+  std::erase(m_Hashes, Hash);
+  m_Hashes.push_back(Hash);
+  if (m_Hashes.size() > Capacity)
+    m_Hashes.pop_front();
 }
 
 bool ReplyHistory::hasReceipt(std::string_view Receipt) const {
@@ -77,7 +87,7 @@
 }
 
 void ReplyHistory::add(const StatementReply &Reply) {
-  if (Reply.m_Error && !hasRejection(Reply))
+  if (Reply.m_Error)
     m_Rejections.add(hashOfRejection(Reply), kRememberedRejections);
   if (!Reply.m_Receipt.empty())
     m_Receipts.add(std::hash<std::string_view>{}(Reply.m_Receipt),
--- a/src/decision/session/ReplyCheck.h
+++ b/src/decision/session/ReplyCheck.h
@@ -4,7 +4,7 @@
 
 #include "decision/session/SessionEvents.h"
 
-#include <vector>
+#include <deque>
 
 namespace almondpier {
 
@@ -23,8 +23,8 @@
   Executing,
   /// Rolls back a transaction whose session no longer waits for the reply.
   RollingBack,
-  /// A rejection that may be a repeated one is outstanding. Another statement
-  /// was sent, whose reply follows the true one.
+  /// A rejection may answer an earlier statement. Statements were sent whose
+  /// replies follow the true one.
   Confirming,
 };
 
@@ -43,11 +43,11 @@
   class Recent {
   public:
     bool contains(uint64_t Hash) const;
+    /// Adds a value, or makes it the newest one.
     void add(uint64_t Hash, size_t Capacity);
 
   private:
-    std::vector<uint64_t> m_Hashes;
-    size_t m_Next = 0;
+    std::deque<uint64_t> m_Hashes;
   };
 
   Recent m_Receipts;
@@ -62,7 +62,7 @@
   /// Cannot answer the statement that is outstanding, whose reply is still to
   /// come. It is not known what this one answers.
   Foreign,
-  /// A rejection that may be a copy of an earlier one.
+  /// A rejection that may answer an earlier statement.
   Ambiguous,
 };
 
@@ -73,6 +73,9 @@
   StatementKind m_Kind = StatementKind::Invalid;
   /// A transaction was open when the statement was sent.
   bool m_InTransaction = false;
+  /// The last reply could only answer its own statement, so all replies before
+  /// have arrived.
+  bool m_IsInSync = true;
 };
 
 /// Returns whether an instance confirms the statement with a receipt.
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -27,6 +27,11 @@
 /// time while a statement runs. Exceeds the slowest statements, which take a
 /// few hundred milliseconds.
 constexpr Duration kResponseTimeout = milliseconds(600);
+/// A connection on which no caller awaits the reply is closed when it has not
+/// come for this time, also when the instance replies on other connections.
+constexpr Duration kUnclaimedReplyTimeout = milliseconds(2'000);
+/// Interval at which the instances that sent defective replies are forgotten.
+constexpr Duration kDefectMemory = milliseconds(60'000);
 /// Opening a connection takes two round trips and some work at the instance,
 /// which may be queued behind a dozen statements.
 constexpr Duration kConnectTimeout = milliseconds(400);
@@ -497,9 +502,10 @@
   Connection.m_InTransaction = Reply.m_State != TransactionState::None;
   if (Reply.m_Error)
     return;
+  Connection.m_IsInSync = !Reply.m_Receipt.empty() ||
+                          Connection.m_State == ConnectionState::Beginning;
   switch (Connection.m_State) {
   case ConnectionState::Resetting:
-  case ConnectionState::Confirming:
     Connection.m_Variables.clear();
     Connection.m_Prepared.clear();
     Connection.m_NeedsReset = false;
@@ -534,6 +540,7 @@
     ++m_UnrequestedReplies;
     break;
   }
+  m_DefectiveInstances.insert(Connection.m_Instance);
   auto Found = Connection.m_Session
                    ? m_Sessions.find(Connection.m_Session->m_Value)
                    : m_Sessions.end();
@@ -554,10 +561,10 @@
   m_Tracker.onInputReceived(Connection->m_Instance, Now);
   reportDefect(*Connection, Event.m_Defect);
   // Every reply has a result, so this is none. The next one may be.
-  if (Event.m_Defect == ReplyDefect::NoResult) {
-    Connection->m_IsRetiring = true;
+  Connection->m_IsRetiring = true;
+  if (Event.m_Defect == ReplyDefect::NoResult &&
+      Connection->m_State != ConnectionState::Idle)
     return;
-  }
   dropConnection(Event.m_Connection,
                  "sent " + std::string(nameOf(Event.m_Defect)), Now);
 }
@@ -571,7 +578,7 @@
   if (Connection->m_State == ConnectionState::Confirming)
     return onConfirmationReplied(*Connection, Reply, Now);
   ExpectedReply Expected{Connection->m_State, Connection->m_Sent.m_Kind,
-                         Connection->m_InTransaction};
+                         Connection->m_InTransaction, Connection->m_IsInSync};
   ReplyVerdict Verdict = checkReply(Expected, Connection->m_Replies, Reply);
   Connection->m_Replies.add(Reply);
   switch (Verdict) {
@@ -606,49 +613,93 @@
 void StatementExecutor::confirmRejection(InstanceConnection &Connection,
                                          const StatementReply &Reply,
                                          Time Now) {
-  ConnectionState State = Connection.m_State;
-  bool IsOfCaller = State == ConnectionState::Executing ||
-                    State == ConnectionState::Beginning;
-  // A reset is not possible inside a transaction, which the loss of the
-  // connection rolls back.
-  if (Connection.m_InTransaction || !IsOfCaller || !Connection.m_Session)
-    return dropConnection(Connection.m_Id, "sent a rejection twice", Now);
+  if (!Connection.m_Session)
+    return m_Pool.close(Connection.m_Id);
+  // Copies of several replies together could look like the confirmation.
+  if (m_DefectiveInstances.contains(Connection.m_Instance))
+    return dropConnection(Connection.m_Id, "may have sent a rejection twice",
+                          Now);
   ++m_ConfirmedRejections;
-  Connection.m_Unconfirmed =
-      UnconfirmedRejection{Reply, State, Connection.m_Sent};
-  m_Pool.send(Connection, ConnectionState::Confirming,
-              makeProxyStatement(StatementKind::Reset), std::nullopt, Now);
+  UnconfirmedRejection Rejection{Reply,
+                                 Connection.m_State,
+                                 Connection.m_Sent,
+                                 Connection.m_InTransaction,
+                                 {}};
+  if (Connection.m_InTransaction)
+    Rejection.m_Left.push_back(StatementKind::Rollback);
+  Rejection.m_Left.push_back(StatementKind::BeginReadOnly);
+  Rejection.m_Left.push_back(StatementKind::Rollback);
+  Connection.m_Unconfirmed = std::move(Rejection);
+  sendConfirmation(Connection, Now);
+}
+
+void StatementExecutor::sendConfirmation(InstanceConnection &Connection,
+                                         Time Now) {
+  std::deque<StatementKind> &Left = Connection.m_Unconfirmed->m_Left;
+  StatementKind Kind = Left.front();
+  Left.pop_front();
+  m_Pool.send(Connection, ConnectionState::Confirming, makeProxyStatement(Kind),
+              std::nullopt, Now);
 }
 
 void StatementExecutor::onConfirmationReplied(InstanceConnection &Connection,
                                               const StatementReply &Reply,
                                               Time Now) {
-  const ReplyHistory &History = Connection.m_Replies;
-  ExpectedReply Reset{ConnectionState::Confirming, StatementKind::Reset, false};
-  ReplyVerdict Verdict = checkReply(Reset, History, Reply);
+  bool IsBegin = Connection.m_Sent.m_Kind == StatementKind::BeginReadOnly;
+  ExpectedReply Expected{IsBegin ? ConnectionState::Beginning
+                                 : ConnectionState::RollingBack,
+                         Connection.m_Sent.m_Kind};
+  ReplyVerdict Verdict = checkReply(Expected, Connection.m_Replies, Reply);
   if (Verdict == ReplyVerdict::Repeated)
     return reportDefect(Connection, ReplyDefect::Repeated);
+  // Either the true reply to the statement, or that to a confirmation.
+  if (Reply.m_Error)
+    return dropConnection(Connection.m_Id, "sent a rejection twice", Now);
+  if (Verdict != ReplyVerdict::Own) {
+    if (!takeTrueReply(Connection, Reply, Now))
+      onForeignReply(Connection, Reply, Now);
+    return;
+  }
+  if (!Connection.m_Unconfirmed->m_Left.empty())
+    return sendConfirmation(Connection, Now);
+  onRejectionConfirmed(Connection, Now);
+}
+
+void StatementExecutor::onRejectionConfirmed(InstanceConnection &Connection,
+                                             Time Now) {
   UnconfirmedRejection Rejection =
       *std::exchange(Connection.m_Unconfirmed, std::nullopt);
-  if (Verdict == ReplyVerdict::Own) {
-    recordReply(Connection, Reply);
-    Connection.m_State = Rejection.m_State;
-    Connection.m_Sent = Rejection.m_Statement;
-    return onOwnReply(Connection, Rejection.m_Reply, Now);
-  }
+  Connection.m_State = Rejection.m_State;
+  Connection.m_Sent = std::move(Rejection.m_Statement);
+  Connection.m_IsInSync = true;
+  // The confirmation has rolled back a transaction that was open.
+  Rejection.m_Reply.m_State = TransactionState::None;
+  onOwnReply(Connection, Rejection.m_Reply, Now);
+}
+
+bool StatementExecutor::takeTrueReply(InstanceConnection &Connection,
+                                      const StatementReply &Reply, Time Now) {
+  const UnconfirmedRejection &Rejection = *Connection.m_Unconfirmed;
   ExpectedReply Answered{Rejection.m_State, Rejection.m_Statement.m_Kind,
-                         false};
-  bool IsTrueReply = Rejection.m_State == ConnectionState::Executing &&
-                     checkReply(Answered, History, Reply) == ReplyVerdict::Own;
-  if (!IsTrueReply)
-    return dropConnection(Connection.m_Id, "sent a rejection twice", Now);
-  // The rejection was a copy, and this is the reply. That to the reset is still
-  // to come.
+                         Rejection.m_InTransaction};
+  if (Rejection.m_State != ConnectionState::Executing ||
+      Reply.m_Receipt.empty() ||
+      checkReply(Answered, Connection.m_Replies, Reply) != ReplyVerdict::Own)
+    return false;
   reportDefect(Connection, ReplyDefect::Repeated);
+  // The replies to the confirmation are still to come.
   Connection.m_IsRetiring = true;
+  bool IsRolledBack = Rejection.m_InTransaction &&
+                      Rejection.m_Statement.m_Kind != StatementKind::Commit;
+  if (IsRolledBack) {
+    dropConnection(Connection.m_Id, "sent a rejection twice", Now);
+    return true;
+  }
   Connection.m_State = Rejection.m_State;
   Connection.m_Sent = Rejection.m_Statement;
+  Connection.m_Unconfirmed.reset();
   onOwnReply(Connection, Reply, Now);
+  return true;
 }
 
 void StatementExecutor::onOwnReply(InstanceConnection &Connection,
@@ -682,15 +733,25 @@
     return onBeginReplied(Session, Connection, Reply, Now);
   if (!IsRefused)
     return sendNext(Session, Connection, Now);
-  // The state of the connection is unknown after a failed preparatory
-  // statement.
+  onPreparationRejected(Session, Connection, Reply, Now);
+}
+
+void StatementExecutor::onPreparationRejected(CallerSession &Session,
+                                              InstanceConnection &Connection,
+                                              const StatementReply &Reply,
+                                              Time Now) {
   InstanceName Instance = Connection.m_Instance;
   std::string Reason =
       "rejected a statement that prepares the connection: " + Reply.m_ErrorText;
+  // The state of the connection is unknown.
   if (Session.m_StatementsRun > 0)
-    return onClosed(Connection.m_Id, Now);
+    return dropConnection(Connection.m_Id, Reason, Now);
   m_Pool.close(Connection.m_Id);
   Session.m_PinnedConnection.reset();
+  // A value or a template that one instance cannot take is taken by none.
+  if (Reply.m_Error == SessionError::Malformed ||
+      Reply.m_Error == SessionError::TooLarge)
+    return fail(Session, *Reply.m_Error, Reply.m_ErrorText);
   retry(Session, Instance, Reason, SessionError::Busy, Now);
 }
 
@@ -967,8 +1028,17 @@
     if (Connection.m_State == ConnectionState::Idle ||
         Connection.m_State == ConnectionState::Pinned)
       continue;
+    auto Owner = Connection.m_Session
+                     ? m_Sessions.find(Connection.m_Session->m_Value)
+                     : m_Sessions.end();
+    bool IsAwaited = Owner != m_Sessions.end() && Owner->second.m_Pending &&
+                     Owner->second.m_Pending->m_Connection == Connection.m_Id;
     bool IsConnecting = Connection.m_State == ConnectionState::Connecting;
     Duration Waited = Now - Connection.m_SentAt;
+    if (!IsAwaited && Waited >= kUnclaimedReplyTimeout) {
+      Unresponsive.push_back(Connection.m_Id);
+      continue;
+    }
     bool HasInput = m_Tracker.healthOf(Connection.m_Instance).m_LastInputAt >=
                     Connection.m_SentAt;
     if (Waited < (IsConnecting ? kConnectTimeout : kResponseTimeout) ||
@@ -976,11 +1046,7 @@
       continue;
     // The reply to a write or commit may still arrive, so only its deadline
     // ends the wait.
-    auto Owner = Connection.m_Session
-                     ? m_Sessions.find(Connection.m_Session->m_Value)
-                     : m_Sessions.end();
-    if (Owner != m_Sessions.end() && Owner->second.m_Pending &&
-        Owner->second.m_Pending->m_IsSent &&
+    if (IsAwaited && Owner->second.m_Pending->m_IsSent &&
         errorAfterConnectionLoss(Owner->second) == SessionError::OutcomeUnknown)
       continue;
     Unresponsive.push_back(Connection.m_Id);
@@ -1046,6 +1112,10 @@
 }
 
 void StatementExecutor::tick(Time Now) {
+  if (Now - m_DefectsClearedAt >= kDefectMemory) {
+    m_DefectsClearedAt = Now;
+    m_DefectiveInstances.clear();
+  }
   closeUnresponsive(Now);
   leaveClosedZones(Now);
   for (std::string &Report : m_Tracker.takePaceReports())
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -122,12 +122,25 @@
   /// A reply arrived that does not answer the outstanding statement.
   void onForeignReply(InstanceConnection &Connection,
                       const StatementReply &Reply, Time Now);
-  /// A rejection arrived that may be a copy. The statement is not answered
-  /// before its true reply is known.
+  /// A rejection arrived that may answer an earlier statement. Its own is not
+  /// answered before the true reply is known: a rollback, where a transaction
+  /// is open, and an empty transaction are sent, whose replies differ from each
+  /// other and come after it.
   void confirmRejection(InstanceConnection &Connection,
                         const StatementReply &Reply, Time Now);
+  void sendConfirmation(InstanceConnection &Connection, Time Now);
   void onConfirmationReplied(InstanceConnection &Connection,
                              const StatementReply &Reply, Time Now);
+  /// The rejection is that of its statement.
+  void onRejectionConfirmed(InstanceConnection &Connection, Time Now);
+  /// Returns whether the reply is that of the statement that seemed to be
+  /// rejected, and passes it on.
+  bool takeTrueReply(InstanceConnection &Connection,
+                     const StatementReply &Reply, Time Now);
+  /// A statement that the proxy sent to prepare the connection was rejected.
+  void onPreparationRejected(CallerSession &Session,
+                             InstanceConnection &Connection,
+                             const StatementReply &Reply, Time Now);
   /// Closes the connection, whose instance can be reached, and retries or fails
   /// the statement that runs on it.
   void dropConnection(ConnectionId Id, const std::string &Reason, Time Now);
@@ -176,6 +189,9 @@
   std::vector<CompletedStatement> m_Completed;
   Time m_ExcessClosedAt;
   Time m_ReportedAt;
+  /// Instances that sent defective replies since m_DefectsClearedAt.
+  std::set<InstanceName> m_DefectiveInstances;
+  Time m_DefectsClearedAt;
   /// Remaining retry budget; grows by a fraction of a retry with each
   /// statement.
   double m_RetryTokens = 0;
--- a/tests/session/SessionFleet.h
+++ b/tests/session/SessionFleet.h
@@ -368,6 +368,10 @@
   /// statement.
   std::function<void(size_t, const Instance &, const Statement &)>
       m_OnStatement;
+  /// Returns the delays after which the reply to a statement is sent once more.
+  std::function<std::vector<Duration>(const Statement &)> m_Repeats;
+  /// The request that each receipt belongs to.
+  std::map<std::string, std::string> m_RequestOfReceipt;
   /// Messages between hosts are encoded, which fails for those that are too
   /// large.
   bool m_EncodesMessages = false;
@@ -399,6 +403,9 @@
     TransactionState m_State = TransactionState::None;
     bool m_HasWritten = false;
     bool m_ChecksLeadership = false;
+    /// A statement runs; those behind it wait.
+    bool m_IsRunning = false;
+    std::deque<SendToInstance> m_Waiting;
   };
   using LinkEnd = std::pair<size_t, LinkId>;
   using ConnectionKey = std::pair<size_t, ConnectionId>;
@@ -721,6 +728,18 @@
       Bytes += Row.size();
     return m_Network.receive(Index, Bytes, Sent);
   }
+  void finishStatement(const ConnectionKey &Key) {
+    auto Found = m_Connections.find(Key);
+    if (Found == m_Connections.end())
+      return;
+    Found->second.m_IsRunning = false;
+    if (Found->second.m_Waiting.empty())
+      return;
+    SendToInstance Next = std::move(Found->second.m_Waiting.front());
+    Found->second.m_Waiting.pop_front();
+    schedule(Duration{},
+             [this, Key, Next] { receiveAtInstance(Key.first, Next); });
+  }
   void receiveAtInstance(size_t Index, const SendToInstance &Action) {
     ConnectionKey Key{Index, Action.m_Connection};
     auto Found = m_Connections.find(Key);
@@ -730,6 +749,10 @@
     Instance &Receiver = *m_Instances[Target];
     if (Receiver.m_CutHosts.contains(Index))
       return;
+    // An instance runs the statements of a connection one after the other.
+    if (Found->second.m_IsRunning)
+      return Found->second.m_Waiting.push_back(Action);
+    Found->second.m_IsRunning = true;
     if (m_OnStatement)
       m_OnStatement(Index, Receiver, Action.m_Statement);
     StatementKind Kind = Action.m_Statement.m_Kind;
@@ -745,12 +768,21 @@
       Reply.m_Rows.emplace_back(Action.m_Statement.m_Text.size(), 'r');
     if (NeedsSlot && !Reply.m_Error)
       Reply.m_Rows.resize(Reply.m_Rows.size() + m_EmptyRows);
-    std::function<void()> Answer = [this, Key, Reply] {
-      schedule(replyArrival(Key.first, Reply) - m_Now, [this, Key, Reply] {
-        if (m_Connections.contains(Key))
-          process(Key.first, kStatementBytes,
-                  InstanceReplied{Key.second, Reply});
-      });
+    if (!Reply.m_Receipt.empty())
+      m_RequestOfReceipt[Reply.m_Receipt] = Action.m_Statement.m_RequestId;
+    std::vector<Duration> Delays{Duration{}};
+    if (m_Repeats)
+      for (Duration Delay : m_Repeats(Action.m_Statement))
+        Delays.push_back(Delay);
+    std::function<void()> Answer = [this, Key, Reply, Delays] {
+      finishStatement(Key);
+      for (Duration Delay : Delays)
+        schedule(replyArrival(Key.first, Reply) - m_Now + Delay,
+                 [this, Key, Reply] {
+                   if (m_Connections.contains(Key))
+                     process(Key.first, kStatementBytes,
+                             InstanceReplied{Key.second, Reply});
+                 });
     };
     if (Receiver.m_IsPrimary)
       replicate(Target);
--- a/tests/session/SessionHarness.h
+++ b/tests/session/SessionHarness.h
@@ -22,6 +22,8 @@
   bool m_IsUnreachable = false;
   /// Rejects every statement but ROLLBACK with this error.
   std::optional<SessionError> m_ForcedError;
+  /// Applies m_ForcedError only to statements that occupy a slot.
+  bool m_RejectsOnlyInSlots = false;
   /// Executes statements but never sends the replies.
   bool m_DropsReplies = false;
   /// Delays after which each reply is sent once more.
@@ -374,7 +376,9 @@
                                              const OpenConnection &Connection,
                                              const SendToInstance &Action) {
     StatementKind Kind = Action.m_Statement.m_Kind;
-    if (Instance.m_ForcedError && Kind != StatementKind::Rollback)
+    bool IsExempt = Kind == StatementKind::Rollback ||
+                    (Instance.m_RejectsOnlyInSlots && !hasReceipt(Kind));
+    if (Instance.m_ForcedError && !IsExempt)
       return Instance.m_ForcedError;
     if (Action.m_MinPosition && Instance.m_Position < *Action.m_MinPosition)
       return SessionError::Lagging;
