Answer no line of a caller with the error for another one

A caller that sent an invalid line, such as a second STARTUP, while one of its statements was outstanding got ERROR MALFORMED, which it takes for the reply to that statement, although the statement may have run. Class: an answer goes to another request. The connection now ends without an error line then; with nothing outstanding the error is sent as before.

--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -114,6 +114,8 @@
     Time m_ConnectedAt;
     bool m_HasOpened = false;
     Time m_LastLineAt;
+    /// Number of statements that have not been answered.
+    size_t m_Outstanding = 0;
     /// Set once the stream is closing: it ends when all buffered data has been
     /// sent.
     std::optional<Time> m_ClosingSince;
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -53,8 +53,8 @@
          closeCaller(Id);
          dispatch(SessionEnded{Id});
        }});
-  m_Callers[Id.m_Value] = Caller{std::move(Stream), m_Loop.now(), false,
-                                 m_Loop.now(), std::nullopt};
+  m_Callers[Id.m_Value] = Caller{
+      std::move(Stream), m_Loop.now(), false, m_Loop.now(), 0, std::nullopt};
 }
 
 template <LineFormat Format>
@@ -71,9 +71,13 @@
   }
   Statement *Sent = std::get_if<Statement>(&Parsed);
   Sender.m_LastLineAt = m_Loop.now();
-  if (Sent != nullptr && Sender.m_HasOpened)
+  if (Sent != nullptr && Sender.m_HasOpened) {
+    ++Sender.m_Outstanding;
     return dispatch(StatementReceived{Id, std::move(*Sent)});
-  if (!std::holds_alternative<EndLine>(Parsed))
+  }
+  // While a statement is outstanding, the caller would take the error for the
+  // reply to it.
+  if (!std::holds_alternative<EndLine>(Parsed) && Sender.m_Outstanding == 0)
     Sender.m_Stream->write(Format::formatRefused(SessionError::Malformed));
   closeCaller(Id);
   dispatch(SessionEnded{Id});
@@ -162,6 +166,7 @@
   if (Found == m_Callers.end())
     return;
   m_StatementLatency.record(m_Loop.now() - Found->second.m_LastLineAt);
+  --Found->second.m_Outstanding;
   Found->second.m_Stream->write(Format::formatReply(Action.m_Reply));
 }
 
