Refuse a result that is too large for its caller

A result of more than 4 MiB ended the connection of the caller in the middle of the answer, because that is what a host buffers for a caller that does not read; before that, nothing limited the rows that a host held of an instance. Rows are now dropped behind 2 MiB. A read, and a write inside a transaction, is refused as too large; a single write or a commit, which has run, is in doubt. The receipt is kept, so that a copy of such a reply is recognised.

An instance that answers the opening of a connection with an invalid line is left alone for a moment again, as before.

--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -106,6 +106,9 @@
   /// the last answers and returned rate-limit tokens are sent.
   static constexpr std::chrono::milliseconds kFlushTime{200};
   static constexpr std::chrono::seconds kCloseTimeout{3};
+  /// Largest result that is passed on; half of what is buffered for a caller
+  /// that does not read.
+  static constexpr size_t kMaxReplyBytes = 2U << 20U;
 
   static ProxyOptions makeOptions(const SessionServerSettings &Settings);
 
@@ -125,6 +128,8 @@
     bool m_IsConnected = false;
     /// The result of the reply that is arriving; the state is still to come.
     bool m_HasResult = false;
+    /// Size of the rows that have arrived.
+    size_t m_ReplyBytes = 0;
     StatementReply m_Reply;
   };
 
--- a/src/decision/session/ReplyCheck.cpp
+++ b/src/decision/session/ReplyCheck.cpp
@@ -87,7 +87,7 @@
 }
 
 void ReplyHistory::add(const StatementReply &Reply) {
-  if (Reply.m_Error)
+  if (Reply.m_Error && Reply.m_Receipt.empty())
     m_Rejections.add(hashOfRejection(Reply), kRememberedRejections);
   if (!Reply.m_Receipt.empty())
     m_Receipts.add(std::hash<std::string_view>{}(Reply.m_Receipt),
@@ -109,7 +109,8 @@
   if (!IsOutstanding)
     return Reply.m_Error && History.hasRejection(Reply) ? ReplyVerdict::Repeated
                                                         : ReplyVerdict::Foreign;
-  if (Reply.m_Error)
+  // The statement ran if there is a receipt: only its result is refused.
+  if (Reply.m_Error && Reply.m_Receipt.empty())
     return checkRejection(Expected, History, Reply);
   bool NeedsReceipt = Expected.m_State == ConnectionState::Executing &&
                       hasReceipt(Expected.m_Kind);
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -500,10 +500,12 @@
   // Only the reply tells whether a transaction is open: an overloaded instance
   // rejects a COMMIT and leaves the transaction as it was.
   Connection.m_InTransaction = Reply.m_State != TransactionState::None;
+  Connection.m_IsInSync =
+      !Reply.m_Receipt.empty() ||
+      (Reply.m_Error ? Connection.m_IsInSync
+                     : Connection.m_State == ConnectionState::Beginning);
   if (Reply.m_Error)
     return;
-  Connection.m_IsInSync = !Reply.m_Receipt.empty() ||
-                          Connection.m_State == ConnectionState::Beginning;
   switch (Connection.m_State) {
   case ConnectionState::Resetting:
     Connection.m_Variables.clear();
@@ -565,6 +567,9 @@
   if (Event.m_Defect == ReplyDefect::NoResult &&
       Connection->m_State != ConnectionState::Idle)
     return;
+  // Nothing shows that a connection can be opened to this instance.
+  if (Connection->m_State == ConnectionState::Connecting)
+    return onClosed(Event.m_Connection, Now);
   dropConnection(Event.m_Connection,
                  "sent " + std::string(nameOf(Event.m_Defect)), Now);
 }
@@ -821,6 +826,12 @@
         Reply.m_Position)
       Session.m_LastCommit = std::max(Session.m_LastCommit, *Reply.m_Position);
   }
+  // The statement ran and only its result does not fit.
+  if (Reply.m_Error == SessionError::TooLarge)
+    Reply.m_Error =
+        errorAfterConnectionLoss(Session) == SessionError::OutcomeUnknown
+            ? SessionError::OutcomeUnknown
+            : SessionError::TooLarge;
   if (Reply.m_Error == SessionError::UnknownStatement)
     Connection.m_Prepared.clear();
   bool CanRetry =
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -114,7 +114,12 @@
   if (!IsExpected)
     return dispatch(InstanceReplyInvalid{Id, ReplyDefect::InvalidLine});
   if (RowLine *Row = std::get_if<RowLine>(&Parsed)) {
-    Peer.m_Reply.m_Rows.push_back(std::move(Row->m_Row));
+    // The rows of a reply that is too large are read and dropped.
+    Peer.m_ReplyBytes += Row->m_Row.size() + sizeof(Row->m_Row);
+    if (Peer.m_ReplyBytes <= kMaxReplyBytes)
+      Peer.m_Reply.m_Rows.push_back(std::move(Row->m_Row));
+    else
+      Peer.m_Reply.m_Rows.clear();
   } else if (CompleteLine *Complete = std::get_if<CompleteLine>(&Parsed)) {
     Peer.m_HasResult = true;
     Peer.m_Reply.m_Receipt = std::move(Complete->m_Receipt);
@@ -137,8 +142,16 @@
     return dispatch(InstanceConnected{Id, Ready.m_Position});
   }
   StatementReply Reply = std::exchange(Peer.m_Reply, StatementReply());
+  size_t Bytes = std::exchange(Peer.m_ReplyBytes, 0);
   if (!std::exchange(Peer.m_HasResult, false))
-    return dispatch(InstanceReplyInvalid{Id, ReplyDefect::NoResult});
+    return dispatch(InstanceReplyInvalid{
+        Id, Bytes == 0 ? ReplyDefect::NoResult : ReplyDefect::InvalidLine});
+  // The receipt stays, because it tells a copy of the reply.
+  if (Bytes > kMaxReplyBytes && !Reply.m_Error) {
+    Reply.m_Rows.clear();
+    Reply.m_Error = SessionError::TooLarge;
+    Reply.m_ErrorText = "the result exceeds the size limit";
+  }
   Reply.m_State = Ready.m_State;
   Reply.m_Position = Ready.m_Position;
   dispatch(InstanceReplied{Id, std::move(Reply)});
@@ -181,15 +194,21 @@
          dispatch(ConnectionClosed{Id});
        }});
   Stream->write(Format::formatOpen(Action));
-  m_Instances[Id.m_Value] = Instance{std::move(Stream), false, false, {}};
+  m_Instances[Id.m_Value] = Instance{std::move(Stream), false, false, 0, {}};
 }
 
 template <LineFormat Format>
 void SessionServer<Format>::execute(const SendToInstance &Action) {
   auto Found = m_Instances.find(Action.m_Connection.m_Value);
-  if (Found != m_Instances.end())
-    Found->second.m_Stream->write(
-        Format::formatStatement(Action.m_Statement, Action.m_MinPosition));
+  if (Found == m_Instances.end())
+    return;
+  Instance &Peer = Found->second;
+  // Part of a reply that came before the statement is none of its own.
+  Peer.m_Reply = StatementReply();
+  Peer.m_ReplyBytes = 0;
+  Peer.m_HasResult = false;
+  Peer.m_Stream->write(
+      Format::formatStatement(Action.m_Statement, Action.m_MinPosition));
 }
 
 template <LineFormat Format>
