Refuse a body that is not a JSON object at the operations endpoint

Users would see a control host end when an operator's request to /v1/changes has a JSON value that is not an object, such as [].

Cause: the body was parsed as any JSON value, and the library throws on access to a field of another value than an object. Only Error is caught, and the exception passed through libevent.

The test failed before: "terminate called after throwing an instance of 'nlohmann::json_abi_v3_11_2::detail::type_error', type_error.306: cannot use value() with array".

Every body of this endpoint is now required to be an object, and any other value is refused as a bad request before a field is read.

--- a/src/control/OperationsServer.cpp
+++ b/src/control/OperationsServer.cpp
@@ -26,11 +26,17 @@
 }
 
 Json parseBody(const HttpServerRequest &Request) {
+  Json Body;
   try {
-    return Json::parse(Request.m_Body);
+    Body = Json::parse(Request.m_Body);
   } catch (const Json::exception &Failure) {
     throw Error(ErrorKind::BadRequest, Failure.what());
   }
+  // The library throws on access to a field of any other value, and an
+  // exception must not pass through libevent.
+  if (!Body.is_object())
+    throw Error(ErrorKind::BadRequest, "the body is not a JSON object");
+  return Body;
 }
 
 std::string requireStringField(const Json &Body, const char *Field) {
--- a/tests/control/OperationsTest.cpp
+++ b/tests/control/OperationsTest.cpp
@@ -81,8 +81,46 @@
   }
 };
 
+/// Sends one request and returns the status of its response; 0 without one.
+int statusOf(const Endpoint &Peer, HttpClientConnection::Request Request) {
+  EventLoop Loop;
+  HttpClientConnection Connection(Loop, Peer, std::chrono::seconds(5));
+  int Status = 0;
+  Connection.send(
+      Request, [&](const std::variant<HttpResponse,
+                                      HttpClientConnection::Failure> &Result) {
+        if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result))
+          Status = Response->m_Status;
+        Loop.stop();
+      });
+  Loop.run();
+  return Status;
+}
+
+constexpr int kBadRequest = 400;
+const std::vector<HttpHeader> kOperatorHeaders{
+    {"Authorization", "Bearer " + kOperatorKey}};
+
 } // namespace
 
+// Guards against the end of a control host by a body that is no object.
+TEST_CASE("control: requests with another JSON value than an object are "
+          "refused") {
+  Fixture Test;
+  RunningControl Control(Test.m_Settings);
+  REQUIRE((Test.run({"keys", "list"}) == OperationsExit::Done));
+  for (const std::string Body :
+       {"[]", "7", "\"change\"", "null", "true", "{}", "{\"change\":[]}",
+        "{\"change\":{\"type\":7}}", "[{\"change\":{}}]"})
+    for (const char *Target : {"/v1/changes", "/v1/members"}) {
+      CAPTURE(Body);
+      CHECK(statusOf(Test.m_Settings.m_Operations,
+                     {HttpMethod::Post, Target, kOperatorHeaders, Body}) ==
+            kBadRequest);
+    }
+  CHECK((Test.run({"keys", "list"}) == OperationsExit::Done));
+}
+
 TEST_CASE("control: the command line creates, issues and resends once, and its "
           "changes survive a restart of the control host") {
   Fixture Test;
