Answer requests with bytes that are not UTF-8 at the operations endpoint

Users would see a control host end when an operator's request or an announcement holds bytes that are not UTF-8, in the body or, encoded, in a query value.

Cause: the refusal quotes the input, and writing it as JSON throws on bytes that are not UTF-8. The exception passed through libevent. The status, the configuration and the audit trail are written in the same way.

The test failed before: "terminate called after throwing an instance of 'nlohmann::json_abi_v3_11_2::detail::type_error', type_error.316: invalid UTF-8 byte at index 1: 0xFF".

Such bytes are now replaced when a response is written, as the proxies do.

--- a/src/control/OperationsServer.cpp
+++ b/src/control/OperationsServer.cpp
@@ -61,6 +61,12 @@
   return Value;
 }
 
+/// Texts of operators, instances and the platform may hold bytes that are not
+/// UTF-8, on which the library throws by default. They are replaced.
+std::string dump(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string_view bearerToken(const HttpServerRequest &Request) {
   constexpr std::string_view kPrefix = "Bearer ";
   std::string_view Header = Request.header("Authorization");
@@ -151,7 +157,7 @@
     throw Error(ErrorKind::NotLeader, describeNoLeader(m_Core.blackboard()));
   if (IsGet && Request.m_Path == "/v1/status")
     return replyWithJson(Request.m_Id, kHttpOk,
-                         statusToJson(m_Core.blackboard()).dump());
+                         dump(statusToJson(m_Core.blackboard())));
   throw Error(ErrorKind::UnknownRoute, "no such route");
 }
 
@@ -243,13 +249,13 @@
     Body["error"] = toJson(*Refusal);
     if (Reply.m_Leader)
       Body["leader"] = formatEndpoint(*Reply.m_Leader);
-    Response.m_Body = Body.dump();
+    Response.m_Body = dump(Body);
     return Response;
   }
   if (Pending.m_Kind == RequestKind::Configuration)
     Body = toJson(m_Core.blackboard().configuration());
   Response.m_Body =
-      Pending.m_Kind == RequestKind::Audit ? auditPage(Pending) : Body.dump();
+      Pending.m_Kind == RequestKind::Audit ? auditPage(Pending) : dump(Body);
   return Response;
 }
 
@@ -262,11 +268,10 @@
     Records.push_back(toJson(Record));
     Next = Record.m_Number;
   }
-  return Json{{"records", Records},
-              {"first_number", Trail.firstNumber()},
-              {"last_number", Trail.lastNumber()},
-              {"next_after", Next}}
-      .dump();
+  return dump(Json{{"records", Records},
+                   {"first_number", Trail.firstNumber()},
+                   {"last_number", Trail.lastNumber()},
+                   {"next_after", Next}});
 }
 
 std::string OperationsServer::metrics() const {
@@ -297,7 +302,7 @@
   ++m_RefusedRequests;
   ErrorReport Report{Error.kind(), Error.what(), Ran::No, 0};
   replyWithJson(Request, httpStatusOf(Error.kind()),
-                Json{{"error", toJson(Report)}}.dump());
+                dump(Json{{"error", toJson(Report)}}));
 }
 
 } // namespace almondpier
--- a/tests/control/OperationsTest.cpp
+++ b/tests/control/OperationsTest.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <filesystem>
+#include <random>
 #include <sstream>
 #include <thread>
 
@@ -82,7 +83,8 @@
 };
 
 /// Sends one request and returns the status of its response; 0 without one.
-int statusOf(const Endpoint &Peer, HttpClientConnection::Request Request) {
+int statusOf(const Endpoint &Peer,
+             const HttpClientConnection::Request &Request) {
   EventLoop Loop;
   HttpClientConnection Connection(Loop, Peer, std::chrono::seconds(5));
   int Status = 0;
@@ -121,6 +123,40 @@
   CHECK((Test.run({"keys", "list"}) == OperationsExit::Done));
 }
 
+// Guards against the end of a control host by a refusal that quotes bytes which
+// are not UTF-8.
+TEST_CASE("control: requests with any bytes are refused and do not end the "
+          "control host") {
+  Fixture Test;
+  RunningControl Control(Test.m_Settings);
+  REQUIRE((Test.run({"keys", "list"}) == OperationsExit::Done));
+  const Endpoint &Peer = Test.m_Settings.m_Operations;
+  CHECK(statusOf(
+            Peer,
+            {HttpMethod::Get, "/v1/audit?after=%ff", kOperatorHeaders, {}}) ==
+        kBadRequest);
+  CHECK(statusOf(Peer, {HttpMethod::Post,
+                        "/v1/announcements",
+                        {{"Authorization", "Bearer announce-announce"}},
+                        "{\"zone\":\"\xff\"}"}) == kBadRequest);
+  constexpr uint32_t kSeed = 7;
+  constexpr int kRounds = 200;
+  constexpr int kChangesPerRound = 3;
+  std::mt19937 Random(kSeed);
+  std::uniform_int_distribution<int> AnyByte(0, UINT8_MAX);
+  const std::string Valid =
+      R"({"change_id":"c","expected_version":1,"change":{"type":"x"}})";
+  for (int Round = 0; Round < kRounds; ++Round) {
+    std::string Body = Valid;
+    for (int Count = 0; Count < kChangesPerRound; ++Count)
+      Body[Random() % Body.size()] = static_cast<char>(AnyByte(Random));
+    CAPTURE(Body);
+    CHECK(statusOf(Peer, {HttpMethod::Post, "/v1/changes", kOperatorHeaders,
+                          Body}) == kBadRequest);
+  }
+  CHECK((Test.run({"keys", "list"}) == OperationsExit::Done));
+}
+
 TEST_CASE("control: the command line creates, issues and resends once, and its "
           "changes survive a restart of the control host") {
   Fixture Test;
