Deliver an error text of any size to callers of every host

Users would see a failed statement with a long error text of the database end after its deadline as "deadline exceeded" or "outcome unknown", with "ran: unknown", when their proxy is not the owner of the database. At the owner, a read that failed in this way was reported to have run.

Cause: only the body of an answer was limited. A failed read carried its text twice, as body and as error, and the text of a failed write was not limited, so that the message to the entry host exceeded the limit of messages and was dropped.

The test failed before, for example with 524,288 bytes, status 422, at a host that is not the owner: "CHECK( Reply.m_Error->m_Ran == Ran::No ) is NOT correct! values: CHECK( 1 == 0 )".

A failed answer now has no body, which callers never got, and a text that does not fit a message is cut with a mark. The kind of the error and whether the statement ran are kept.

--- a/src/decision/proxy/ForwardingController.cpp
+++ b/src/decision/proxy/ForwardingController.cpp
@@ -297,7 +297,17 @@
 
 /// Links carry at most 1 MiB in a message; the limit holds on every path, so
 /// that an answer does not depend on the entry host.
-static RequestResult limitBodySize(RequestResult Result) {
+static RequestResult limitSize(RequestResult Result) {
+  if (Result.m_Error) {
+    // Callers of a failed request get the text of the error and no body.
+    Result.m_Body.clear();
+    std::string &Text = Result.m_Error->m_Message;
+    constexpr std::string_view kCutMark = " ... (cut)";
+    if (Text.size() > kMaxBodyBytes)
+      Text.replace(kMaxBodyBytes - kCutMark.size(), std::string::npos,
+                   kCutMark);
+    return Result;
+  }
   if (Result.m_Body.size() <= kMaxBodyBytes)
     return Result;
   Result.m_Error = ErrorReport{
@@ -314,7 +324,7 @@
       Local != m_ByTicket.end()) {
     CallerRequestId Id = Local->second;
     m_ByTicket.erase(Local);
-    finish(Id, limitBodySize(Completed.m_Result));
+    finish(Id, limitSize(Completed.m_Result));
     return;
   }
   auto Found = m_ServedRequests.find(Completed.m_Ticket.m_Value);
@@ -326,7 +336,7 @@
   m_Links.onRequestDone(Answered.m_Link);
   m_Actions.push_back(SendMessage{
       Answered.m_Link,
-      ForwardReply{Answered.m_Sequence, limitBodySize(Completed.m_Result)}});
+      ForwardReply{Answered.m_Sequence, limitSize(Completed.m_Result)}});
 }
 
 void ForwardingController::routeWaiting(Time Now) {
--- a/tests/proxy/FakeGroup.h
+++ b/tests/proxy/FakeGroup.h
@@ -62,6 +62,11 @@
   InstanceAnswer execute(size_t Number, const SendStatement &Sent, Time Now) {
     ++m_Statements;
     InstanceAnswer Answer;
+    if (m_Failure && Sent.m_Kind != RequestKind::Outcome) {
+      Answer = *m_Failure;
+      Answer.m_Position = positionOf(Number, Now);
+      return Answer;
+    }
     Answer.m_HttpStatus = 200;
     switch (Sent.m_Kind) {
     case RequestKind::Write:
@@ -110,6 +115,8 @@
   uint64_t m_Statements = 0;
   /// Instances do not answer statements while set.
   bool m_IsUnresponsive = false;
+  /// Answer of the instances to statements while set.
+  std::optional<InstanceAnswer> m_Failure;
 
 private:
   struct Entry {
--- a/tests/proxy/ProxyCoreTest.cpp
+++ b/tests/proxy/ProxyCoreTest.cpp
@@ -268,6 +268,37 @@
   CHECK(Fleet.m_Hosts[Entry].m_Replies[Late.m_Id.m_Value].size() == 1);
 }
 
+// Guards against the loss of an answer with a long error text: the message that
+// carried it to the entry host exceeded the limit of messages.
+TEST_CASE("an error text of any size reaches callers of every host") {
+  constexpr size_t kMebibyte = size_t{1} << 20U;
+  ProxyFleet Fleet(3);
+  REQUIRE(Fleet.start());
+  Fleet.m_EncodesMessages = true;
+  for (size_t Bytes : {size_t{300}, kMebibyte / 2, kMebibyte - 5'000,
+                       kMebibyte - 4'096, kMebibyte, 3 * kMebibyte})
+    for (int Status : {400, 422})
+      for (RequestKind Kind : {RequestKind::Read, RequestKind::Write})
+        for (size_t Host : {Fleet.owner(), Fleet.nonOwner()}) {
+          INFO(Bytes << " bytes, status " << Status << ", host " << Host);
+          InstanceAnswer Failure;
+          Failure.m_HttpStatus = Status;
+          Failure.m_Body = std::string(Bytes, 'e');
+          Failure.m_Ran = false;
+          Fleet.m_Group.m_Failure = Failure;
+          ReplyToCaller Reply = Fleet.call(Host, Fleet.request(Kind, "\"a\""));
+          REQUIRE(Reply.m_Error);
+          CHECK(Reply.m_Error->m_Kind == (Status == 400
+                                              ? ErrorKind::BadRequest
+                                              : ErrorKind::StatementFailed));
+          CHECK(Reply.m_Error->m_Ran == Ran::No);
+          if (Bytes <= kMebibyte - 4'096)
+            CHECK(Reply.m_Error->m_Message == Failure.m_Body);
+          else
+            CHECK(Reply.m_Error->m_Message.starts_with("eee"));
+        }
+}
+
 TEST_CASE("shutdown of an owner cuts off no request and no transaction, and "
           "returns the tokens") {
   ProxyFleet Fleet(3);
--- a/tests/proxy/ProxyFleet.h
+++ b/tests/proxy/ProxyFleet.h
@@ -175,6 +175,9 @@
   Duration m_Delay = std::chrono::milliseconds(1);
   /// Number of times that every message between proxies is delivered.
   size_t m_MessageCopies = 1;
+  /// Messages between proxies are encoded, and lost when that fails, as on the
+  /// sockets.
+  bool m_EncodesMessages = false;
 
   static Endpoint controlEndpoint(size_t Number) {
     return Endpoint{"10.0.0.1", static_cast<uint16_t>(kControlPort + Number)};
@@ -305,6 +308,8 @@
     }
     if (m_Partitioned.contains({Found->m_From, Found->m_To}))
       return;
+    if (m_EncodesMessages && !canEncode(Action.m_Message))
+      return;
     bool IsForward = Found->m_From == Number;
     size_t To = IsForward ? Found->m_To : Found->m_From;
     LinkId Link = IsForward ? Found->m_ToLink : Found->m_FromLink;
@@ -314,6 +319,14 @@
       });
   }
 
+  static bool canEncode(const Message &Message) {
+    try {
+      return !encode(Message).empty();
+    } catch (const Error &) {
+      return false;
+    }
+  }
+
   void answerControl(const Pipe &Target, const SendMessage &Action) {
     if (m_Control.m_SilentPorts.contains(Target.m_ControlPort))
       return;
