Give no HTTP response to a request that it was not sent for

Users would see the result of an earlier statement as the answer to theirs when an instance answers a statement twice: responses carry no identifier, and the connection is kept.

Cause: a surplus response that arrives together with the first, or before the next request is sent, stays in the input of the connection, where libevent reads it as the response to the next request.

The test failed before: "CHECK( Second->m_Body == "/second" ) is NOT correct! values: CHECK( /first == /second )", both for a copy in the same segment and for one that arrives between two requests.

A connection with input that no request asked for now counts as closed, when a response is complete and before a request is sent. The next request is reported as not sent and goes over another connection.

A copy that arrives after the next request was sent is still taken for the response to that request.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "net/LibeventHandles.h"
 
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 namespace almondpier {
 
@@ -59,8 +60,26 @@
     evbuffer *Body = evhttp_request_get_input_buffer(Request);
     Response.m_Body.resize(evbuffer_get_length(Body));
     evbuffer_remove(Body, Response.m_Body.data(), Response.m_Body.size());
+    if (hasUnreadInput())
+      fail();
     finish(Response);
   }
+
+  /// Whether bytes have arrived that no request asked for, or the stream has
+  /// ended. evhttp would take them for the response to the next request.
+  bool hasUnreadInput() const {
+    bufferevent *Stream = evhttp_connection_get_bufferevent(m_Handle.get());
+    if (evbuffer_get_length(bufferevent_get_input(Stream)) > 0)
+      return true;
+    evutil_socket_t Socket = bufferevent_getfd(Stream);
+    if (Socket < 0)
+      return false;
+    char Byte = 0;
+    ssize_t Received =
+        ::recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
+    return Received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK &&
+                             errno != EINTR && errno != ENOTCONN);
+  }
 };
 
 HttpClientConnection::HttpClientConnection(EventLoop &Loop,
@@ -119,7 +138,7 @@
   m_State->m_Callback = std::move(Callback);
   m_State->m_BytesDrained = 0;
   m_State->m_FailReason.clear();
-  if (m_State->m_IsClosed) {
+  if (m_State->m_IsClosed || m_State->hasUnreadInput()) {
     // evhttp would connect again by itself; a closed connection must not come
     // back under the same identity.
     m_State->fail();
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -111,6 +111,114 @@
   CHECK(!Failure->m_NothingSent);
 }
 
+namespace {
+
+/// When a server repeats its response to the first request of a connection.
+enum class Repetition : uint8_t { AtOnce, WhileIdle, BeforeNextRequest };
+
+/// An HTTP server that answers each request with its target, and the first of
+/// each connection twice.
+class RepeatingServer {
+public:
+  explicit RepeatingServer(Repetition When)
+      : m_When(When), m_Thread([this] { serve(); }) {}
+  ~RepeatingServer() {
+    ::shutdown(m_Listener, SHUT_RDWR);
+    m_Thread.join();
+    ::close(m_Listener);
+  }
+  RepeatingServer(const RepeatingServer &) = delete;
+  RepeatingServer &operator=(const RepeatingServer &) = delete;
+
+  Endpoint m_Local = freeEndpoint();
+
+private:
+  static int listenOn(const Endpoint &Local) {
+    sockaddr_in Address = toSocketAddress(Local);
+    int Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    constexpr int kBacklog = 8;
+    bool IsListening = ::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
+                              sizeof(Address)) == 0 &&
+                       ::listen(Listener, kBacklog) == 0;
+    REQUIRE(IsListening);
+    return Listener;
+  }
+
+  void serve() {
+    int Socket = -1;
+    while ((Socket = ::accept(m_Listener, nullptr, nullptr)) >= 0) {
+      answer(Socket);
+      ::close(Socket);
+    }
+  }
+
+  void answer(int Socket) const {
+    std::array<char, 4'096> Bytes{};
+    bool IsFirst = true;
+    ssize_t Received = 0;
+    while ((Received = ::recv(Socket, Bytes.data(), Bytes.size(), 0)) > 0) {
+      std::string Request(Bytes.data(), static_cast<size_t>(Received));
+      std::string Target = Request.substr(Request.find('/'));
+      Target.resize(Target.find(' '));
+      std::string Response = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(Target.size()) + "\r\n\r\n" +
+                             Target;
+      if (IsFirst && m_When == Repetition::AtOnce)
+        Response += Response;
+      ::send(Socket, Response.data(), Response.size(), MSG_NOSIGNAL);
+      if (IsFirst && m_When != Repetition::AtOnce) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        ::send(Socket, Response.data(), Response.size(), MSG_NOSIGNAL);
+      }
+      IsFirst = false;
+    }
+  }
+
+  Repetition m_When;
+  int m_Listener = listenOn(m_Local);
+  std::thread m_Thread;
+};
+
+} // namespace
+
+// Guards against an answer that is taken for that of the next request because
+// the server answered twice.
+TEST_CASE("a repeated HTTP response is not taken for that of the next "
+          "request") {
+  for (Repetition When : {Repetition::AtOnce, Repetition::WhileIdle,
+                          Repetition::BeforeNextRequest}) {
+    INFO("repetition " << static_cast<int>(When));
+    RepeatingServer Server(When);
+    EventLoop Loop;
+    HttpClientConnection Connection(Loop, Server.m_Local, kGenerous);
+    int Closed = 0;
+    Connection.setOnClose([&] { ++Closed; });
+    std::vector<std::variant<HttpResponse, HttpClientConnection::Failure>>
+        Results;
+    for (const char *Target : {"/first", "/second"}) {
+      Connection.send({HttpMethod::Get, Target, {}, {}},
+                      [&](const auto &Result) {
+                        Results.push_back(Result);
+                        Loop.stop();
+                      });
+      Loop.run();
+      if (When == Repetition::WhileIdle)
+        runFor(Loop, std::chrono::milliseconds(60));
+      else if (When == Repetition::BeforeNextRequest)
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    }
+    REQUIRE(Results.size() == 2);
+    REQUIRE(std::holds_alternative<HttpResponse>(Results[0]));
+    CHECK(std::get<HttpResponse>(Results[0]).m_Body == "/first");
+    // The second request was not sent on a connection in an unknown state.
+    if (const HttpResponse *Second = std::get_if<HttpResponse>(&Results[1]))
+      CHECK(Second->m_Body == "/second");
+    REQUIRE(std::holds_alternative<HttpClientConnection::Failure>(Results[1]));
+    CHECK(std::get<HttpClientConnection::Failure>(Results[1]).m_NothingSent);
+    CHECK(Closed == (When == Repetition::WhileIdle ? 1 : 0));
+  }
+}
+
 TEST_CASE("links carry messages between holders of the same secret only") {
   EventLoop Loop;
   Endpoint Local = freeEndpoint();
