Decode names in the path of a request

Cause: the interface of the HTTP server called the path decoded, but it was as received, and names were compared in their encoded form.

The path is split as received and each segment is decoded afterwards, so an encoded slash is part of a name.

--- a/include/almondpier/Net.h
+++ b/include/almondpier/Net.h
@@ -260,11 +260,15 @@
   friend auto operator<=>(const HttpHeader &, const HttpHeader &) = default;
 };
 
+/// Decodes the percent-encoding of a segment of a path. An invalid sequence
+/// stands for itself.
+std::string decodePathSegment(std::string_view Encoded);
+
 struct HttpServerRequest {
   HttpRequestId m_Id;
   HttpConnectionId m_Connection;
   HttpMethod m_Method = HttpMethod::Get;
-  /// Decoded path without the query.
+  /// Path without the query, as received. Its segments are percent-encoded.
   std::string m_Path;
   /// Query as received, without '?'.
   std::string m_Query;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "net/LibeventHandles.h"
 
+#include <cstdlib>
 #include <cstring>
 #include <unordered_map>
 
@@ -35,6 +36,15 @@
   return Result;
 }
 
+std::string decodePathSegment(std::string_view Encoded) {
+  size_t Bytes = 0;
+  std::unique_ptr<char, decltype(&std::free)> Decoded(
+      evhttp_uridecode(std::string(Encoded).c_str(), 0, &Bytes), &std::free);
+  if (!Decoded)
+    throw std::bad_alloc();
+  return std::string(Decoded.get(), Bytes);
+}
+
 static HttpMethod methodOf(evhttp_request *Request) {
   switch (evhttp_request_get_command(Request)) {
   case EVHTTP_REQ_GET:
--- a/src/proxy/CallerRoutes.cpp
+++ b/src/proxy/CallerRoutes.cpp
@@ -13,7 +13,7 @@
   std::vector<std::string> Parts;
   while (true) {
     size_t Slash = Path.find('/');
-    Parts.emplace_back(Path.substr(0, Slash));
+    Parts.push_back(decodePathSegment(Path.substr(0, Slash)));
     if (Slash == std::string_view::npos)
       return Parts;
     Path.remove_prefix(Slash + 1);
--- a/tests/proxy/ProxyServerTest.cpp
+++ b/tests/proxy/ProxyServerTest.cpp
@@ -205,6 +205,25 @@
   CHECK(Error.contains("retry_after_ms"));
 }
 
+// Guards against a path whose segments are compared in their encoded form.
+TEST_CASE("an outcome is found by the encoded form of its Idempotency-Key") {
+  TestDeployment Deployment;
+  CHECK(Deployment
+            .call(0, "write", R"({"op":"put","key":"a","value":"b"})",
+                  {{"Idempotency-Key", "run-7"}})
+            .m_Status == 200);
+  for (const char *Id : {"run-7", "run%2D7", "%72%75%6e%2d%37"}) {
+    CAPTURE(Id);
+    CHECK(Deployment
+              .exchange(Deployment.m_Listen[0],
+                        {HttpMethod::Get,
+                         std::string("/v1/databases/races/requests/") + Id,
+                         {{"Authorization", "Bearer k1"}},
+                         {}})
+              .m_Status == 200);
+  }
+}
+
 TEST_CASE("the open routes answer without a key, and metrics name no key") {
   TestDeployment Deployment;
   const Endpoint &Proxy = Deployment.m_Listen[0];
