--- a/tests/platform/ControlFrontendTest.cpp
+++ b/tests/platform/ControlFrontendTest.cpp
@@ -52,9 +52,8 @@
   const std::set<AvailabilityZone> &evacuatedZones() const {
     return m_Host.core().blackboard().configuration().evacuatedZones();
   }
-  std::string lastChange() const {
-    const AuditTrail &Trail = m_Host.core().blackboard().m_State.audit();
-    return Trail.after(Trail.lastNumber() - 1, 1).front().m_Description;
+  uint64_t lastChange() const {
+    return m_Host.core().blackboard().m_State.audit().lastNumber();
   }
 
 private:
@@ -112,3 +111,16 @@
   }
   CHECK(Test.post("/-/Evacuations.Start/north") == kNotFound);
 }
+
+// Guards against bytes in the audit trail that JSON cannot carry, and against a
+// record of a restored zone that nothing can be in.
+TEST_CASE("control frontend: a zone whose name is not UTF-8 is refused") {
+  Fixture Test;
+  uint64_t Before = Test.lastChange();
+  for (const char *Zone : {"%ff", "\xff", "south%C3", "%C3%28", "%ED%A0%80"})
+    for (const char *Path : {"/-/Evacuations.Start/", "/-/Evacuations.End/"}) {
+      CAPTURE(std::string(Zone));
+      CHECK(Test.post(std::string(Path) + Zone) == kBadRequest);
+    }
+  CHECK(Test.lastChange() == Before);
+}
