--- a/tests/platform/InstanceGatewayTest.cpp
+++ b/tests/platform/InstanceGatewayTest.cpp
@@ -2,6 +2,8 @@
 
 #include "almondpier/Net.h"
 
+#include "FreeEndpoint.h"
+
 #include <doctest/doctest.h>
 
 using namespace almondpier;
@@ -29,3 +31,51 @@
   CHECK(Answers[0].m_Call == GroupCallId{7});
   CHECK(Answers[0].m_Outcome == GroupCallAnswered().m_Outcome);
 }
+
+// Guards against an answer of an instance to the opening of the connection that
+// is taken for its answer to the request, so that no failover could complete.
+TEST_CASE("instance gateway: an instance that answers twice is understood") {
+  const std::string Ready = "READY I -\r\n";
+  const std::string Status =
+      "ROW primary 3 3.9 3 0 0 1\r\nCOMPLETE -\r\nREADY I 3.9\r\n";
+  EventLoop Loop;
+  Endpoint Local = freeEndpoint();
+  std::vector<std::unique_ptr<LineStream>> Streams;
+  LineListener Instance(Loop, Local, LineStream::Limits(),
+                        [&](std::unique_ptr<LineStream> Accepted) {
+                          LineStream *Raw = Accepted.get();
+                          Streams.push_back(std::move(Accepted));
+                          Raw->setCallbacks({{},
+                                             [&, Raw](std::string_view Line) {
+                                               const std::string &Reply =
+                                                   Line.starts_with("QUERY")
+                                                       ? Status
+                                                       : Ready;
+                                               Raw->write(Reply + Reply);
+                                             },
+                                             {}});
+                        });
+  InstanceGateway Gateway(Loop, "c0", std::nullopt);
+  for (GroupCallKind Kind :
+       {GroupCallKind::ReadPosition, GroupCallKind::SealReplica,
+        GroupCallKind::DemotePrimary}) {
+    CallGroup Call;
+    Call.m_Call = GroupCallId{static_cast<uint64_t>(Kind) + 1};
+    Call.m_Kind = Kind;
+    Call.m_Instance.m_Name = InstanceName{"i-1"};
+    Call.m_Instance.m_Database = DatabaseName{"races"};
+    Call.m_Instance.m_StatementEndpoint = Local;
+    Call.m_TimeoutMs = 2'000;
+    std::vector<GroupCallAnswered> Answers;
+    Gateway.call(Call, [&](const GroupCallAnswered &Answer) {
+      Answers.push_back(Answer);
+      Loop.stop();
+    });
+    Loop.run();
+    REQUIRE(Answers.size() == 1);
+    CHECK(Answers[0].m_Call == Call.m_Call);
+    CHECK(Answers[0].m_Outcome == GroupCallOutcome::Done);
+    CHECK(Answers[0].m_Received == Position{3, 9});
+    CHECK(Answers[0].m_IsPrimary);
+  }
+}
