Keep a log record complete when its text is long

Users would see a record of the log without the end of its message, so that the parser of the log takes the next record for a part of it, when a field of a caller or an operator is longer than about 4,000 bytes.

Cause: a record longer than a pipe takes at once was cut, with the closing quote of its message.

The text is now cut before it is quoted, ends with an ellipsis, and the record fits.

--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -1,5 +1,6 @@
 #include "almondpier/Telemetry.h"
 
+#include <algorithm>
 #include <climits>
 #include <ostream>
 #include <streambuf>
@@ -52,10 +53,21 @@
   return std::string(Text.data()) + "." + Fraction.substr(1) + "Z";
 }
 
-/// Keeps a record on one line and its quotes balanced.
-std::string quoted(std::string_view Text) {
+/// Keeps a record on one line and its quotes balanced. A text that would take
+/// more than MaxBytes with its quotes is cut and ends with an ellipsis.
+std::string quoted(std::string_view Text, size_t MaxBytes) {
+  constexpr std::string_view kEllipsis = "...\"";
+  constexpr size_t kEscapedBytes = 2;
+  size_t Whole = 2 + Text.size() +
+                 static_cast<size_t>(std::count_if(
+                     Text.begin(), Text.end(), [](char Character) {
+                       return Character == '"' || Character == '\\';
+                     }));
   std::string Result = "\"";
   for (char Character : Text) {
+    if (Whole > MaxBytes &&
+        Result.size() + kEscapedBytes + kEllipsis.size() > MaxBytes)
+      return Result.append(kEllipsis);
     if (Character == '"' || Character == '\\')
       Result += '\\';
     bool IsControl = static_cast<unsigned char>(Character) < ' ';
@@ -121,9 +133,13 @@
         boost::log::extract<LogLevel>("Severity", Record);
     boost::log::value_ref<std::string> Text =
         boost::log::extract<std::string>("Message", Record);
-    Stream << "time=" << currentTime()
-           << " level=" << textOf(Level ? *Level : LogLevel::Error) << Origin
-           << " message=" << quoted(Text ? *Text : std::string());
+    std::string Fields = "time=" + currentTime() + " level=";
+    Fields.append(textOf(Level ? *Level : LogLevel::Error));
+    Fields.append(Origin).append(" message=");
+    // One byte is left for the end of the line.
+    size_t MaxBytes =
+        PIPE_BUF - 1 - std::min<size_t>(Fields.size(), PIPE_BUF / 2);
+    Stream << Fields << quoted(Text ? *Text : std::string(), MaxBytes);
   });
   boost::log::core::get()->add_sink(Output);
 }
