Refuse an instance that the list of instances has no room for

Users would see every control host that leads end, one after the other, when the descriptions of the registered instances together exceed 1 MiB, for example by a client that sends heartbeats under 5,000 long names.

Cause: the list is sent to proxies and control hosts in one message, and encoding a message above the limit throws, which ends a control host.

The leader now keeps the list below 384 KiB, which leaves room for the other fields of such a message, and refuses the heartbeat of an instance beyond that with status 503. A control host that only relays heartbeats still confirms them, because the leader does not answer it.

--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -281,12 +281,15 @@
       return Context.refuseAsFollower(Event.m_Id);
     // Check-ins repeat, so one that is lost on the way to the leader costs an
     // interval and nothing else.
-    if (m_Board.m_IsLeader)
-      m_Directory.onCheckIn(Event.m_CheckIn, Context);
-    else
-      sendToLeader(Event.m_CheckIn, Context);
     ReplyToOperation Reply;
     Reply.m_Id = Event.m_Id;
+    if (!m_Board.m_IsLeader)
+      sendToLeader(Event.m_CheckIn, Context);
+    else if (!m_Directory.onCheckIn(Event.m_CheckIn, Context))
+      Reply.m_Error = ErrorReport{
+          ErrorKind::Overloaded,
+          "the list of instances is full; stop instances that are not needed",
+          Ran::No, 0};
     if (const ControlMember *Leader = m_Board.findMember(m_Board.m_Leader))
       Reply.m_Leader = Leader->m_Operations;
     Context.m_Actions.push_back(std::move(Reply));
--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -15,6 +15,19 @@
 /// How long a boot that ended is remembered against its late check-ins.
 constexpr Duration kBootMemory = std::chrono::seconds(120);
 
+/// Bound for the encoded list, which is sent in one message with up to
+/// kMaxMessageBytes / 2 of changes and the list of hosts.
+constexpr size_t kMaxListBytes = kMaxMessageBytes / 8 * 3;
+
+/// Returns at least the encoded size of a description.
+size_t encodedSizeOf(const InstanceDescription &Instance) {
+  // Lengths and numbers.
+  constexpr size_t kFixedBytes = 48;
+  return Instance.m_Name.m_Value.size() + Instance.m_Database.m_Value.size() +
+         Instance.m_Zone.m_Value.size() +
+         Instance.m_StatementEndpoint.m_Address.size() + kFixedBytes;
+}
+
 } // namespace
 
 bool DirectoryController::isLate(const InstanceCheckIn &CheckIn) const {
@@ -52,6 +65,15 @@
   return false;
 }
 
+bool DirectoryController::hasRoomFor(
+    const InstanceDescription &Instance) const {
+  size_t Bytes = encodedSizeOf(Instance);
+  for (const auto &[Name, Entry] : m_Entries)
+    if (Name != Instance.m_Name)
+      Bytes += encodedSizeOf(Entry);
+  return Bytes <= kMaxListBytes;
+}
+
 void DirectoryController::dropOthersAt(const InstanceDescription &Instance) {
   size_t Dropped = std::erase_if(m_Entries, [&](const auto &Entry) {
     return Entry.second.m_StatementEndpoint == Instance.m_StatementEndpoint &&
@@ -60,28 +82,31 @@
   m_IsChanged = m_IsChanged || Dropped > 0;
 }
 
-void DirectoryController::onCheckIn(const InstanceCheckIn &CheckIn,
+bool DirectoryController::onCheckIn(const InstanceCheckIn &CheckIn,
                                     ControlContext &Context) {
   beginTermIfNew(Context);
   const InstanceDescription &Instance = CheckIn.m_Instance;
   if (!m_Board.m_IsLeader || isLate(CheckIn))
-    return;
+    return true;
+  if (!CheckIn.m_IsLeaving && !hasRoomFor(Instance))
+    return false;
   Boot &Seen = m_Boots[Instance.m_Name];
   Seen.m_HeardAt = Context.m_Now;
   if (CheckIn.m_IsLeaving) {
     Seen.m_HasLeft = true;
     if (m_Entries.erase(Instance.m_Name) == 0)
-      return;
+      return true;
     m_IsChanged = true;
     Context.reportStateChange("instance " + Instance.m_Name.m_Value +
                               " has left");
-    return publish(Context);
+    publish(Context);
+    return true;
   }
   Seen.m_StartedAtMs = Instance.m_StartedAtMs;
   Seen.m_Sequence = CheckIn.m_Sequence;
   Seen.m_HasLeft = false;
   if (isAddressTaken(Instance))
-    return;
+    return true;
   dropOthersAt(Instance);
   auto [Entry, IsNew] = m_Entries.try_emplace(Instance.m_Name, Instance);
   if (Instance.m_IsPrimary && (IsNew || !Entry->second.m_IsPrimary))
@@ -99,6 +124,7 @@
   Entry->second = Instance;
   m_Board.m_CheckedInAt[Instance.m_Name] = Context.m_Now;
   publish(Context);
+  return true;
 }
 
 void DirectoryController::onLeaderDirectory(
--- a/src/decision/control/DirectoryController.h
+++ b/src/decision/control/DirectoryController.h
@@ -20,8 +20,9 @@
   explicit DirectoryController(ControlBlackboard &Board) : m_Board(Board) {}
 
   /// Takes a check-in at the leader. A late one, of an earlier boot or an
-  /// earlier sequence number, changes nothing.
-  void onCheckIn(const InstanceCheckIn &CheckIn, ControlContext &Context);
+  /// earlier sequence number, changes nothing. Returns false when the list has
+  /// no room for the instance.
+  bool onCheckIn(const InstanceCheckIn &CheckIn, ControlContext &Context);
   /// The leader's list, as a follower receives it.
   void onLeaderDirectory(const InstanceDirectory &Directory);
   void tick(ControlContext &Context);
@@ -41,6 +42,8 @@
   /// Whether another member of the group began to claim the role of primary
   /// later. A primary that is cut off cannot withdraw its claim.
   bool isClaimOutdated(const InstanceDescription &Instance) const;
+  /// Whether the list with Instance fits a message.
+  bool hasRoomFor(const InstanceDescription &Instance) const;
   void dropOthersAt(const InstanceDescription &Instance);
   void beginTermIfNew(ControlContext &Context);
   void publish(ControlContext &Context);
