Refuse text that is not UTF-8 at the command line

Users would be told that "a control host sent an answer that this version does not understand" when a name or an option is not UTF-8, although no request was sent.

Cause: writing the request as JSON throws, with the same type as reading an answer.

The test failed before: "CHECK( (Test.run({"organisations", "create", Invalid}) == OperationsExit::Usage) ) is NOT correct!".

All text that goes into a request is checked before the first one is sent, and reported as wrong usage.

--- a/src/operations/Operations.cpp
+++ b/src/operations/Operations.cpp
@@ -63,6 +63,15 @@
 
 namespace {
 
+/// Requests are JSON, which carries UTF-8 only.
+void requireUtf8(const std::vector<std::string> &Texts) {
+  try {
+    Json(Texts).dump();
+  } catch (const Json::type_error &) {
+    throw UsageError("a name or an option is not UTF-8");
+  }
+}
+
 class Operation {
 public:
   Operation(const std::vector<std::string> &Words,
@@ -72,6 +81,9 @@
         m_Client(Options) {}
 
   OperationsExit run() {
+    requireUtf8(m_Words);
+    requireUtf8(m_Options.m_Limits);
+    requireUtf8({m_Options.m_ChangeId, m_Options.m_Vote.value_or("")});
     if (m_Words.size() == 3 && m_Words[0] == "operators" &&
         m_Words[1] == "draw")
       return drawOperatorKey();
--- a/tests/control/OperationsTest.cpp
+++ b/tests/control/OperationsTest.cpp
@@ -216,3 +216,23 @@
   CHECK(Test.m_Output.find("restore zone nowhere") != std::string::npos);
   CHECK(Test.m_Output.find("ann") != std::string::npos);
 }
+
+// Guards against a message that blames the control host for text of the command
+// line that JSON cannot carry.
+TEST_CASE("control: the command line refuses text that is not UTF-8 itself") {
+  Fixture Test;
+  RunningControl Control(Test.m_Settings);
+  REQUIRE((Test.run({"keys", "list"}) == OperationsExit::Done));
+  const std::string Invalid = "caf\xe9";
+  CHECK((Test.run({"organisations", "create", Invalid}) ==
+         OperationsExit::Usage));
+  CHECK(Test.m_Errors.find("UTF-8") != std::string::npos);
+  CHECK((Test.run({"members", "remove", Invalid}) == OperationsExit::Usage));
+  CHECK((Test.run({"zones", "restore", Invalid}) == OperationsExit::Usage));
+  Test.m_Options.m_Vote = Invalid;
+  CHECK((Test.run({"presets", "define", "ordinary"}) == OperationsExit::Usage));
+  Test.m_Options.m_Vote.reset();
+  Test.m_Options.m_ChangeId = Invalid;
+  CHECK((Test.run({"organisations", "create", "prairie"}) ==
+         OperationsExit::Usage));
+}
