Show control characters of a text as blanks in tables

Users would see lines in the tables of the command line that an operator's text made, such as a preset "peak" with other values, when the vote of a preset has a line feed, and the terminal would obey escape sequences.

Cause: texts were printed as they are.

Control characters are replaced by blanks in tables.

--- a/src/operations/Tables.cpp
+++ b/src/operations/Tables.cpp
@@ -12,12 +12,25 @@
 
 namespace {
 
+/// Control characters would add lines to a table or control the terminal.
+std::string withoutControls(std::string Text) {
+  std::replace_if(
+      Text.begin(), Text.end(),
+      [](unsigned char Character) {
+        constexpr unsigned char kDelete = 0x7f;
+        return Character < ' ' || Character == kDelete;
+      },
+      ' ');
+  return Text;
+}
+
 std::string textOf(const Json &Value) {
   if (Value.is_null())
     return "-";
   if (Value.is_boolean())
     return Value.get<bool>() ? "yes" : "no";
-  return Value.is_string() ? Value.get<std::string>() : Value.dump();
+  return Value.is_string() ? withoutControls(Value.get<std::string>())
+                           : Value.dump();
 }
 
 std::string timeOf(const Json &Milliseconds) {
@@ -132,7 +145,7 @@
   for (const auto &[Zone, Count] : Zones) {
     bool IsEvacuated =
         std::find(Evacuated.begin(), Evacuated.end(), Zone) != Evacuated.end();
-    Rows.push_back({Zone, std::to_string(Count.m_Hosts),
+    Rows.push_back({withoutControls(Zone), std::to_string(Count.m_Hosts),
                     std::to_string(Count.m_Instances),
                     IsEvacuated ? "yes" : "no"});
   }
--- a/tests/control/OperationsTest.cpp
+++ b/tests/control/OperationsTest.cpp
@@ -236,3 +236,18 @@
   CHECK((Test.run({"organisations", "create", "prairie"}) ==
          OperationsExit::Usage));
 }
+
+// Guards against a text of an operator that adds lines to a table.
+TEST_CASE("control: a vote with a line feed stays on its line of the table") {
+  Fixture Test;
+  RunningControl Control(Test.m_Settings);
+  Test.m_Options.m_Vote = "2026-12\npeak: max_read_age_ms 0\tx\x1b[2J";
+  REQUIRE(
+      (Test.run({"presets", "define", "ordinary"}) == OperationsExit::Done));
+  Test.m_Options.m_Vote.reset();
+  REQUIRE((Test.run({"presets", "list"}) == OperationsExit::Done));
+  CHECK(Test.m_Output.find("\npeak: max_read_age_ms 0") == std::string::npos);
+  CHECK(Test.m_Output.find('\x1b') == std::string::npos);
+  CHECK(Test.m_Output.find("vote '2026-12 peak: max_read_age_ms 0 x [2J'") !=
+        std::string::npos);
+}
