--- a/tests/platform/ControlFrontendTest.cpp
+++ b/tests/platform/ControlFrontendTest.cpp
@@ -98,15 +98,15 @@
 // the path.
 TEST_CASE("control frontend: a zone of any name is evacuated and restored") {
   Fixture Test;
-  for (const auto &[Path, Zone] :
+  for (const std::pair<const std::string, std::string> &Case :
        std::map<std::string, std::string>{{"north%20wing", "north wing"},
                                           {"caf%C3%A9%2F2", "caf\xc3\xa9/2"},
                                           {"sout%68", "south"}}) {
-    CAPTURE(Path);
-    CHECK(Test.post("/-/Evacuations.Start/" + Path) == kOk);
+    INFO(Case.first);
+    CHECK(Test.post("/-/Evacuations.Start/" + Case.first) == kOk);
     CHECK(Test.evacuatedZones() ==
-          std::set<AvailabilityZone>{AvailabilityZone{Zone}});
-    CHECK(Test.post("/-/Evacuations.End/" + Path) == kOk);
+          std::set<AvailabilityZone>{AvailabilityZone{Case.second}});
+    CHECK(Test.post("/-/Evacuations.End/" + Case.first) == kOk);
     CHECK(Test.evacuatedZones().empty());
   }
   CHECK(Test.post("/-/Evacuations.Start/north") == kNotFound);
