--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -109,6 +109,8 @@
   /// Largest result that is passed on; half of what is buffered for a caller
   /// that does not read.
   static constexpr size_t kMaxReplyBytes = 2U << 20U;
+  /// Memory of a row besides its text.
+  static constexpr size_t kRowOverheadBytes = 32;
 
   static ProxyOptions makeOptions(const SessionServerSettings &Settings);
 
--- a/src/decision/session/ReplyCheck.cpp
+++ b/src/decision/session/ReplyCheck.cpp
@@ -112,6 +112,7 @@
   // The statement ran if there is a receipt: only its result is refused.
   if (Reply.m_Error && Reply.m_Receipt.empty())
     return checkRejection(Expected, History, Reply);
+  // A statement that an instance executes has a receipt, and no other has one.
   bool NeedsReceipt = Expected.m_State == ConnectionState::Executing &&
                       hasReceipt(Expected.m_Kind);
   if (NeedsReceipt == Reply.m_Receipt.empty())
--- a/src/decision/session/Session.h
+++ b/src/decision/session/Session.h
@@ -113,6 +113,10 @@
   Position m_LastCommit;
 };
 
+/// Returns whether the pending statement changes the group at once when it
+/// runs: a single write, or the commit of a transaction that wrote.
+bool takesEffectWhenRun(const CallerSession &Session);
+
 using SessionTable = std::unordered_map<uint64_t, CallerSession>;
 
 } // namespace almondpier
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -277,7 +277,7 @@
   Pending.m_Forward.reset();
   bool WasOpen = Session.m_TransactionOwner.has_value();
   Session.m_TransactionOwner.reset();
-  SessionError Error = errorAfterConnectionLoss(Session);
+  SessionError Error = errorWithoutReply(Session);
   std::string Reason = "owner " + Owner.m_Host.m_Value + " was lost";
   bool CanRetry = Error != SessionError::OutcomeUnknown && !WasOpen &&
                   !endsTransaction(Pending.m_Received.m_Statement);
@@ -827,11 +827,8 @@
       Session.m_LastCommit = std::max(Session.m_LastCommit, *Reply.m_Position);
   }
   // The statement ran and only its result does not fit.
-  if (Reply.m_Error == SessionError::TooLarge)
-    Reply.m_Error =
-        errorAfterConnectionLoss(Session) == SessionError::OutcomeUnknown
-            ? SessionError::OutcomeUnknown
-            : SessionError::TooLarge;
+  if (Reply.m_Error == SessionError::TooLarge && takesEffectWhenRun(Session))
+    Reply.m_Error = SessionError::OutcomeUnknown;
   if (Reply.m_Error == SessionError::UnknownStatement)
     Connection.m_Prepared.clear();
   bool CanRetry =
@@ -872,19 +869,13 @@
 
 // Failure handling.
 
-SessionError StatementExecutor::errorAfterConnectionLoss(
-    const CallerSession &Session) const {
-  const PendingStatement &Pending = *Session.m_Pending;
-  const Statement &CallerStatement = Pending.m_Received.m_Statement;
-  if (!Pending.m_IsSent)
-    return SessionError::Aborted;
+SessionError
+StatementExecutor::errorWithoutReply(const CallerSession &Session) {
   // Closing a connection rolls back its uncommitted transaction, and a commit
   // without writes has no effect.
-  bool MayHaveTakenEffect =
-      (Pending.m_IsAutocommit && isWrite(CallerStatement)) ||
-      (CallerStatement.m_Kind == StatementKind::Commit && Session.m_HasWritten);
-  return MayHaveTakenEffect ? SessionError::OutcomeUnknown
-                            : SessionError::Aborted;
+  return Session.m_Pending->m_IsSent && takesEffectWhenRun(Session)
+             ? SessionError::OutcomeUnknown
+             : SessionError::Aborted;
 }
 
 void StatementExecutor::onClosed(ConnectionId Id, Time Now) {
@@ -917,13 +908,12 @@
       Session.m_State = TransactionState::Failed;
     return;
   }
-  bool CanRetry =
-      errorAfterConnectionLoss(Session) != SessionError::OutcomeUnknown &&
-      Session.m_StatementsRun == 0 &&
-      !endsTransaction(Session.m_Pending->m_Received.m_Statement);
+  bool CanRetry = errorWithoutReply(Session) != SessionError::OutcomeUnknown &&
+                  Session.m_StatementsRun == 0 &&
+                  !endsTransaction(Session.m_Pending->m_Received.m_Statement);
   if (CanRetry)
     return retry(Session, Instance, Reason, SessionError::Aborted, Now);
-  fail(Session, errorAfterConnectionLoss(Session),
+  fail(Session, errorWithoutReply(Session),
        "the connection to " + Instance.m_Value + " is lost");
 }
 
@@ -979,7 +969,7 @@
   PendingStatement &Pending = *Session.m_Pending;
   StatementReply Reply;
   Reply.m_Error =
-      Pending.m_IsSent ? errorAfterConnectionLoss(Session) : SessionError::Busy;
+      Pending.m_IsSent ? errorWithoutReply(Session) : SessionError::Busy;
   Reply.m_ErrorText = Pending.m_IsWaitingForInstance
                           ? m_Selector.describeWaitReason(Session, Now)
                       : Pending.m_IsSent ? "no answer in time"
@@ -1058,7 +1048,7 @@
     // The reply to a write or commit may still arrive, so only its deadline
     // ends the wait.
     if (IsAwaited && Owner->second.m_Pending->m_IsSent &&
-        errorAfterConnectionLoss(Owner->second) == SessionError::OutcomeUnknown)
+        errorWithoutReply(Owner->second) == SessionError::OutcomeUnknown)
       continue;
     Unresponsive.push_back(Connection.m_Id);
   }
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -161,10 +161,10 @@
   /// failed.
   void fail(CallerSession &Session, SessionError Error,
             const std::string &Text);
-  /// Returns the error for a statement whose connection was lost:
+  /// Returns the error for a statement whose reply does not come:
   /// OutcomeUnknown when a write or commit may have taken effect, otherwise
   /// Aborted.
-  SessionError errorAfterConnectionLoss(const CallerSession &Session) const;
+  static SessionError errorWithoutReply(const CallerSession &Session);
   void closeUnresponsive(Time Now);
   /// Closes idle connections to closed zones, and rolls back transactions that
   /// are open there.
--- a/src/decision/session/StatementForwarder.cpp
+++ b/src/decision/session/StatementForwarder.cpp
@@ -201,14 +201,9 @@
   for (const std::string &Row : Reply.m_Rows)
     Bytes += Row.size() + kLengthBytes;
   if (Bytes > kMaxForwardedBytes) {
-    const PendingStatement &Pending = *Session.m_Pending;
-    const Statement &Executed = Pending.m_Received.m_Statement;
-    bool MayHaveTakenEffect =
-        (Pending.m_IsAutocommit && isWrite(Executed)) ||
-        (Executed.m_Kind == StatementKind::Commit && Session.m_HasWritten);
-    Result.m_Error =
-        static_cast<uint8_t>(MayHaveTakenEffect ? SessionError::OutcomeUnknown
-                                                : SessionError::TooLarge);
+    Result.m_Error = static_cast<uint8_t>(takesEffectWhenRun(Session)
+                                              ? SessionError::OutcomeUnknown
+                                              : SessionError::TooLarge);
     Result.m_ErrorText = "the result exceeds the size limit of a forwarded "
                          "reply";
     return Result;
--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -115,7 +115,7 @@
     return dispatch(InstanceReplyInvalid{Id, ReplyDefect::InvalidLine});
   if (RowLine *Row = std::get_if<RowLine>(&Parsed)) {
     // The rows of a reply that is too large are read and dropped.
-    Peer.m_ReplyBytes += Row->m_Row.size() + sizeof(Row->m_Row);
+    Peer.m_ReplyBytes += Row->m_Row.size() + kRowOverheadBytes;
     if (Peer.m_ReplyBytes <= kMaxReplyBytes)
       Peer.m_Reply.m_Rows.push_back(std::move(Row->m_Row));
     else
