--- a/tests/platform/LineCodecTest.cpp
+++ b/tests/platform/LineCodecTest.cpp
@@ -131,22 +131,35 @@
 
 } // namespace
 
+namespace {
+
+std::string joined(std::initializer_list<std::string_view> Parts) {
+  std::string Result;
+  for (std::string_view Part : Parts)
+    Result.append(Part);
+  return Result;
+}
+
+} // namespace
+
 // UNASKED, MIXED: bytes of a field became framing, a name or another field.
 TEST_CASE("line codec: fields of any bytes reach an instance and a caller "
           "whole") {
   std::mt19937 Random(17);
   for (int Round = 0; Round < 5'000; ++Round) {
-    std::string Id = randomField(Random, false) + "i";
+    std::string Id = joined({randomField(Random, false), "i"});
     std::string Item = randomField(Random, false);
-    std::string Data = randomField(Random, true) + "d";
+    std::string Data = joined({randomField(Random, true), "d"});
     for (const std::string &Text :
-         {"WRITE " + Item + " " + Data, "READ " + Data,
-          "SET " + Item + " " + Data, "PREPARE " + Item + " READ " + Data}) {
-      CallerLine Line = LineCodec::parseCallerLine("QUERY " + Id + " " + Text);
+         {joined({"WRITE ", Item, " ", Data}), joined({"READ ", Data}),
+          joined({"SET ", Item, " ", Data}),
+          joined({"PREPARE ", Item, " READ ", Data})}) {
+      CallerLine Line =
+          LineCodec::parseCallerLine(joined({"QUERY ", Id, " ", Text}));
       const Statement &Sent = std::get<Statement>(Line);
       CHECK(Sent.m_Kind != StatementKind::Invalid);
       CHECK(LineCodec::formatStatement(Sent, std::nullopt) ==
-            "QUERY " + Id + " " + Text + "\r\n");
+            joined({"QUERY ", Id, " ", Text, "\r\n"}));
       // The proxy repeats SET and PREPARE under its own identifier.
       Statement Repeated = Sent;
       Repeated.m_Text.clear();
@@ -154,26 +167,26 @@
       if (Sent.m_Kind == StatementKind::SetVariable ||
           Sent.m_Kind == StatementKind::Prepare)
         CHECK(LineCodec::formatStatement(Repeated, std::nullopt) ==
-              "QUERY - " + Text + "\r\n");
+              joined({"QUERY - ", Text, "\r\n"}));
     }
-    CallerLine Line = LineCodec::parseCallerLine("QUERY " + Id + " EXECUTE " +
-                                                 Item + " " + Data);
+    CallerLine Line = LineCodec::parseCallerLine(
+        joined({"QUERY ", Id, " EXECUTE ", Item, " ", Data}));
     Statement Executed = std::get<Statement>(Line);
     Executed.m_Name = "p1";
     Executed.m_Text.clear();
     CHECK(LineCodec::formatStatement(Executed, std::nullopt) ==
-          "QUERY " + Id + " EXECUTE p1 " + Data + "\r\n");
+          joined({"QUERY ", Id, " EXECUTE p1 ", Data, "\r\n"}));
 
     std::string Row = randomField(Random, true);
-    std::string Receipt = "7." + randomField(Random, true);
+    std::string Receipt = joined({"7.", randomField(Random, true)});
+    InstanceLine RowText = LineCodec::parseInstanceLine(joined({"ROW ", Row}));
+    InstanceLine Result =
+        LineCodec::parseInstanceLine(joined({"COMPLETE ", Receipt}));
     StatementReply Reply;
-    Reply.m_Rows = {
-        std::get<RowLine>(LineCodec::parseInstanceLine("ROW " + Row)).m_Row};
-    Reply.m_Receipt = std::get<CompleteLine>(
-                          LineCodec::parseInstanceLine("COMPLETE " + Receipt))
-                          .m_Receipt;
+    Reply.m_Rows = {std::get<RowLine>(RowText).m_Row};
+    Reply.m_Receipt = std::get<CompleteLine>(Result).m_Receipt;
     CHECK(LineCodec::formatReply(Reply) ==
-          "ROW " + Row + "\r\nCOMPLETE " + Receipt + "\r\nREADY I -\r\n");
+          joined({"ROW ", Row, "\r\nCOMPLETE ", Receipt, "\r\nREADY I -\r\n"}));
   }
 }
 
--- a/tests/session/SurplusReplyFleetTest.cpp
+++ b/tests/session/SurplusReplyFleetTest.cpp
@@ -53,7 +53,9 @@
     std::map<std::string, int> Executed;
     for (const std::string &Request : Fleet.m_ExecutedRequests)
       ++Executed[Request];
-    for (const auto &[Request, Reply] : Writes) {
+    for (const std::pair<const std::string, StatementReply> &Entry : Writes) {
+      const std::string &Request = Entry.first;
+      const StatementReply &Reply = Entry.second;
       INFO(Request);
       CHECK(Executed[Request] <= 1);
       if (Reply.m_Error && provesNotExecuted(*Reply.m_Error))
--- a/tests/session/SurplusReplyTest.cpp
+++ b/tests/session/SurplusReplyTest.cpp
@@ -444,6 +444,7 @@
       CHECK((Value != Used.m_Variables.end() && Value->second == Zone->second));
     };
     std::vector<RandomCaller> Callers;
+    Callers.reserve(3);
     for (int Index = 0; Index < 3; ++Index)
       Callers.push_back(openRandom(Harness, Random));
     for (int Step = 0; Step < 80; ++Step) {
@@ -477,9 +478,10 @@
       if (Reply.m_Error && provesNotExecuted(*Reply.m_Error))
         CHECK_FALSE(Harness.m_ExecutedWrites.contains(Next));
     }
-    for (const auto &[Request, Count] : Harness.m_ExecutedWrites) {
-      INFO(Request);
-      CHECK(Count == 1);
+    for (const std::pair<const std::string, int> &Entry :
+         Harness.m_ExecutedWrites) {
+      INFO(Entry.first);
+      CHECK(Entry.second == 1);
     }
   }
 }
@@ -503,6 +505,7 @@
     std::mt19937 Random(Seed);
     SessionHarness Harness(1, 3);
     std::vector<RandomCaller> Callers;
+    Callers.reserve(4);
     for (int Index = 0; Index < 4; ++Index)
       Callers.push_back(openRandom(Harness, Random));
     for (int Step = 0; Step < 1'000; ++Step) {
