--- a/src/decision/session/SessionEvents.cpp
+++ b/src/decision/session/SessionEvents.cpp
@@ -57,6 +57,17 @@
          (Statement.m_Kind == StatementKind::Execute && Statement.m_IsWrite);
 }
 
+bool endsTransaction(const Statement &Statement) {
+  return Statement.m_Kind == StatementKind::Commit ||
+         Statement.m_Kind == StatementKind::Rollback;
+}
+
+Statement makeProxyStatement(StatementKind Kind) {
+  Statement Result;
+  Result.m_Kind = Kind;
+  return Result;
+}
+
 bool provesNotExecuted(SessionError Error) {
   return Error == SessionError::Busy || Error == SessionError::Aborted ||
          Error == SessionError::Lagging || Error == SessionError::ReadOnly ||
--- a/src/decision/session/SessionEvents.h
+++ b/src/decision/session/SessionEvents.h
@@ -54,6 +54,12 @@
 /// which the session copies from the prepared statement.
 bool isWrite(const Statement &Statement);
 
+/// Returns whether the statement is a commit or a rollback.
+bool endsTransaction(const Statement &Statement);
+
+/// Returns a statement that the proxy issues itself.
+Statement makeProxyStatement(StatementKind Kind);
+
 /// Transaction state of a session or connection.
 enum class TransactionState : uint8_t { None, Open, Failed };
 
