Limit the wire tests of invalid lines in turns of the loop

Cause: the limit was wall-clock time, and the machine paused the process for longer.

The limit is now 500 turns of the loop of 1 ms, which is as strict on an idle machine and not used up by a pause. The test of lines that arrive while a statement is outstanding relied on replies 400 ms late; the instances now hold the replies back.

--- a/tests/platform/WireFixture.h
+++ b/tests/platform/WireFixture.h
@@ -202,7 +202,6 @@
   uint32_t m_SurplusReadyPercent = 0;
   /// A defect in the reply to a statement of a caller.
   uint32_t m_BrokenPercent = 0;
-  Duration m_Latency{};
 };
 
 /// A primary and a replica, which execute statements by recording them.
@@ -445,15 +444,11 @@
       Bytes = m_OnReply(Run, Bytes);
     if (IsOfCaller && percent(m_Faults.m_BrokenPercent))
       Bytes = broken(Bytes, Result, ready(To));
-    send(Id, Bytes, m_Faults.m_Latency);
+    send(Id, Bytes, Duration());
     if (m_Faults.m_Repeats)
-      send(Id, Bytes,
-           m_Faults.m_Latency +
-               (m_Random() % 2 == 0 ? Duration() : randomDelay()));
+      send(Id, Bytes, m_Random() % 2 == 0 ? Duration() : randomDelay());
     if (percent(m_Faults.m_SurplusReadyPercent))
-      send(Id, ready(To),
-           m_Faults.m_Latency +
-               (m_Random() % 2 == 0 ? Duration() : randomDelay()));
+      send(Id, ready(To), m_Random() % 2 == 0 ? Duration() : randomDelay());
   }
   std::string broken(const std::string &Bytes, const std::string &Result,
                      const std::string &Ready) {
@@ -670,6 +665,14 @@
     }
     return true;
   }
+  /// As runUntil(), but the limit is a number of turns of 1 ms, which a pause
+  /// of the whole process does not use up.
+  bool runTurnsUntil(const std::function<bool()> &Condition,
+                     size_t MaxTurns = 500) {
+    for (size_t Turn = 0; Turn < MaxTurns && !Condition(); ++Turn)
+      runFor(milliseconds(1));
+    return Condition();
+  }
   void runFor(Duration Limit) {
     OneShotTimer Pause(m_Loop, Limit, [&] { m_Loop.stop(); });
     m_Loop.run();
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -397,9 +397,9 @@
 const std::vector<size_t> kSizes{
     kMaxWireBytes,         kMaxWireBytes - 1,      kMaxWireBytes - 30,
     kMaxWireBytes / 2 + 1, kMaxWireBytes / 2 - 60, kMaxWireBytes / 2 - 2'000};
-/// Statement timeout of the tests of sizes, which are not about time: a result
-/// of several MiB takes more than the usual 1 s in a sanitized build.
-constexpr uint32_t kSizeTimeoutMs = 10'000;
+/// Statement timeout of the tests that are not about time: a result of several
+/// MiB takes more than the usual 1 s in a sanitized build.
+constexpr uint32_t kLongTimeoutMs = 10'000;
 const std::vector<const char *> kInvalidLines{
     "FOO", "STARTUP primary key", "", "QUERY", "ROW x", "READY I -"};
 
@@ -521,7 +521,7 @@
 // Guards against a statement that is cut or lost because it, or what the
 // proxies make of it, exceeds a message.
 TEST_CASE("wire: statements of the largest size pass whole or are refused") {
-  WireFleet Fleet(1, kSizeTimeoutMs);
+  WireFleet Fleet(1, kLongTimeoutMs);
   for (size_t Host : {Fleet.m_Owner, Fleet.otherHost()}) {
     INFO(placeOf(Fleet, Host));
     SizeProbe Probe(Fleet, Host);
@@ -546,7 +546,7 @@
 TEST_CASE("wire: statements that grow on the way pass whole or are refused") {
   for (size_t Size : kSizes) {
     INFO("size " << Size);
-    WireFleet Fleet(1, kSizeTimeoutMs);
+    WireFleet Fleet(1, kLongTimeoutMs);
     for (size_t Host : {Fleet.m_Owner, Fleet.otherHost()}) {
       INFO(placeOf(Fleet, Host));
       SizeProbe Probe(Fleet, Host);
@@ -566,7 +566,7 @@
 // Guards against a large result that ends the connection of its caller, or is
 // told as an error that promises that a write was not executed.
 TEST_CASE("wire: results of any size pass whole or are refused") {
-  WireFleet Fleet(1, kSizeTimeoutMs);
+  WireFleet Fleet(1, kLongTimeoutMs);
   constexpr size_t kRowOverhead = 6;
   constexpr size_t kLargest = kMaxWireBytes - kRowOverhead;
   const std::vector<std::vector<std::string>> Results{
@@ -600,8 +600,11 @@
 // reply to its statement, which an instance may yet execute.
 TEST_CASE("wire: an invalid line while a statement is outstanding ends the "
           "connection without an error") {
-  WireFleet Fleet(1);
-  Fleet.m_Database.m_Faults.m_Latency = milliseconds(400);
+  WireFleet Fleet(1, kLongTimeoutMs);
+  Fleet.m_Database.m_OnReply = [](const Execution & /*Run*/,
+                                  const std::string & /*Bytes*/) {
+    return std::string();
+  };
   for (size_t Host : {Fleet.m_Owner, Fleet.otherHost()}) {
     INFO(placeOf(Fleet, Host));
     std::vector<RawCaller *> Opened;
@@ -620,7 +623,11 @@
       Opened[Index]->m_Stream->send(
           std::string(kInvalidLines[Index % kInvalidLines.size()]) + "\r\n");
     }
-    Fleet.runFor(milliseconds(100));
+    Fleet.runTurnsUntil([&] {
+      return std::all_of(
+          Opened.begin(), Opened.end(),
+          [](const RawCaller *Each) { return Each->m_Stream->isClosed(); });
+    });
     for (size_t Index = 0; Index < Opened.size(); ++Index) {
       INFO("line " << std::string(kInvalidLines[Index % kInvalidLines.size()]));
       CHECK(Opened[Index]->m_Stream->isClosed());
@@ -649,8 +656,7 @@
           CHECK(Fleet.ask(Caller, Fleet.newId(), Text));
         Caller.m_KeepsLines = true;
         Caller.m_Stream->send(std::string(Line) + "\r\n");
-        CHECK(Fleet.runUntil([&] { return Caller.m_Stream->isClosed(); },
-                             milliseconds(500)));
+        CHECK(Fleet.runTurnsUntil([&] { return Caller.m_Stream->isClosed(); }));
         REQUIRE(Caller.m_Lines.size() == 1);
         CHECK(Caller.m_Lines[0].starts_with("ERROR MALFORMED "));
       }
