Retry rejected reads before the rejection is confirmed

What callers saw: a read that a replica rejected as lagging, on a connection whose last reply had no receipt or that had the same rejection before, waited two round trips more before it was tried elsewhere.

Cause: a rejection that may answer an earlier statement is confirmed before anybody is told, also when nothing depends on it. Only a single write and a COMMIT take effect when they run. All others are now tried elsewhere at once; the confirmation goes on without the session and decides whether the connection is used again. The names of prepared statements are forgotten with the rejection, no longer with its delivery.

The new test failed before: 197 of 200 reads took 240 to 305 ms instead of under 180 ms.

--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -129,6 +129,9 @@
   void confirmRejection(InstanceConnection &Connection,
                         const StatementReply &Reply, Time Now);
   void sendConfirmation(InstanceConnection &Connection, Time Now);
+  /// Tries the rejected statement elsewhere while the rejection is confirmed,
+  /// unless an execution would have had an effect.
+  void retryUnconfirmed(InstanceConnection &Connection, Time Now);
   void onConfirmationReplied(InstanceConnection &Connection,
                              const StatementReply &Reply, Time Now);
   /// The rejection is that of its statement.
--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -4,6 +4,30 @@
 
 namespace almondpier {
 
+/// Returns the error of the caller should a further attempt fail as well.
+static SessionError errorOfRejectedBegin(const StatementReply &Reply) {
+  return provesNotExecuted(*Reply.m_Error) ? *Reply.m_Error
+                                           : SessionError::Busy;
+}
+
+/// Returns the same for a reply to the pending statement; nothing when the
+/// statement succeeded or must not be tried again.
+static std::optional<SessionError> errorToRetry(const CallerSession &Session,
+                                                const StatementReply &Reply) {
+  const PendingStatement &Pending = *Session.m_Pending;
+  const Statement &CallerStatement = Pending.m_Received.m_Statement;
+  bool IsFirst = Pending.m_IsAutocommit || Session.m_StatementsRun == 0;
+  if (!Reply.m_Error || endsTransaction(CallerStatement) || !IsFirst)
+    return std::nullopt;
+  if (*Reply.m_Error == SessionError::UnknownStatement)
+    return SessionError::Busy;
+  bool IsFailedRead = *Reply.m_Error == SessionError::Failed &&
+                      Pending.m_IsAutocommit && !isWrite(CallerStatement);
+  if (!provesNotExecuted(*Reply.m_Error) && !IsFailedRead)
+    return std::nullopt;
+  return Reply.m_Error;
+}
+
 void StatementExecutor::onConnected(const InstanceConnected &Event, Time Now) {
   InstanceConnection *Connection = m_Pool.find(Event.m_Connection);
   if (Connection == nullptr)
@@ -73,6 +97,8 @@
       !Reply.m_Receipt.empty() ||
       (Reply.m_Error ? Connection.m_IsInSync
                      : Connection.m_State == ConnectionState::Beginning);
+  if (Reply.m_Error == SessionError::UnknownStatement)
+    Connection.m_Prepared.clear();
   if (Reply.m_Error)
     return;
   switch (Connection.m_State) {
@@ -205,6 +231,28 @@
   Rejection.m_Left.push_back(StatementKind::Rollback);
   Connection.m_Unconfirmed = std::move(Rejection);
   sendConfirmation(Connection, Now);
+  retryUnconfirmed(Connection, Now);
+}
+
+void StatementExecutor::retryUnconfirmed(InstanceConnection &Connection,
+                                         Time Now) {
+  auto Found = m_Sessions.find(Connection.m_Session->m_Value);
+  bool IsAwaited = Found != m_Sessions.end() && Found->second.m_Pending &&
+                   Found->second.m_Pending->m_Connection == Connection.m_Id;
+  if (!IsAwaited || takesEffectWhenRun(Found->second))
+    return;
+  CallerSession &Session = Found->second;
+  const UnconfirmedRejection &Rejection = *Connection.m_Unconfirmed;
+  std::optional<SessionError> Error =
+      Rejection.m_State == ConnectionState::Beginning
+          ? errorOfRejectedBegin(Rejection.m_Reply)
+          : errorToRetry(Session, Rejection.m_Reply);
+  if (!Error)
+    return;
+  Connection.m_Session.reset();
+  Session.m_PinnedConnection.reset();
+  retry(Session, Connection.m_Instance,
+        "answered " + std::string(nameOf(*Error)), *Error, Now);
 }
 
 void StatementExecutor::sendConfirmation(InstanceConnection &Connection,
@@ -365,10 +413,8 @@
   }
   InstanceName Instance = Connection.m_Instance;
   std::string Reason = "rejected BEGIN: " + std::string(nameOf(*Reply.m_Error));
-  SessionError Error =
-      provesNotExecuted(*Reply.m_Error) ? *Reply.m_Error : SessionError::Busy;
   releaseConnection(Connection, Now);
-  retry(Session, Instance, Reason, Error, Now);
+  retry(Session, Instance, Reason, errorOfRejectedBegin(Reply), Now);
 }
 
 void StatementExecutor::onStatementReplied(CallerSession &Session,
@@ -398,22 +444,11 @@
   // The statement ran and only its result does not fit.
   if (Reply.m_Error == SessionError::TooLarge && takesEffectWhenRun(Session))
     Reply.m_Error = SessionError::OutcomeUnknown;
-  if (Reply.m_Error == SessionError::UnknownStatement)
-    Connection.m_Prepared.clear();
-  bool CanRetry =
-      Reply.m_Error && (provesNotExecuted(*Reply.m_Error) ||
-                        *Reply.m_Error == SessionError::UnknownStatement ||
-                        (*Reply.m_Error == SessionError::Failed &&
-                         Pending.m_IsAutocommit && !isWrite(CallerStatement)));
-  if (CanRetry && !endsTransaction(CallerStatement) &&
-      (Pending.m_IsAutocommit || Session.m_StatementsRun == 0)) {
-    SessionError Error = *Reply.m_Error == SessionError::UnknownStatement
-                             ? SessionError::Busy
-                             : *Reply.m_Error;
+  if (std::optional<SessionError> Error = errorToRetry(Session, Reply)) {
     Session.m_PinnedConnection.reset();
     releaseConnection(Connection, Now);
-    return retry(Session, Name, "answered " + std::string(nameOf(Error)), Error,
-                 Now);
+    return retry(Session, Name, "answered " + std::string(nameOf(*Error)),
+                 *Error, Now);
   }
   if (!IsTransaction) {
     releaseConnection(Connection, Now);
--- a/tests/session/RepeatedReplyTest.cpp
+++ b/tests/session/RepeatedReplyTest.cpp
@@ -237,3 +237,33 @@
   CHECK(MostPrepared <= 256);
   CHECK(Harness.receivedCount(0, StatementKind::Reset) >= 2);
 }
+
+// Guards against reads that wait for the confirmation of a rejection, on which
+// nothing of them depends: each rejected read took two round trips more.
+TEST_CASE("session: a rejected read is tried elsewhere before the rejection is "
+          "confirmed") {
+  constexpr Duration kLatency = milliseconds(60);
+  SessionHarness Harness(1, 2);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Harness.instance(Index).m_Latency = kLatency;
+  FakeInstance &Replica = Harness.instance(1);
+  Replica.m_ForcedError = SessionError::Lagging;
+  Replica.m_RejectsOnlyInSlots = true;
+  SessionId Id = Harness.open("bounded-staleness");
+  for (int Count = 0; Count < 200; ++Count) {
+    INFO("read " << Count);
+    Time SentAt = Harness.m_Now;
+    StatementReply Reply = Harness.sendAndWait(Id, SessionHarness::read());
+    CHECK_FALSE(Reply.m_Error);
+    CHECK(Harness.m_Now - SentAt < 3 * kLatency);
+    Harness.run(milliseconds(40));
+  }
+  CHECK(Harness.receivedCount(1, StatementKind::BeginReadOnly) > 1);
+  Replica.m_ForcedError.reset();
+  Harness.run(milliseconds(2'000));
+  size_t Before = Harness.receivedCount(1, StatementKind::Read);
+  for (int Count = 0; Count < 20; ++Count)
+    Harness.sendAndWait(Id, SessionHarness::read());
+  CHECK(Harness.receivedCount(1, StatementKind::Read) > Before);
+  CHECK(Harness.connectionCount(1) == 1);
+}
