Leave a connection whose replies cannot be the awaited one

What callers saw: a statement refused as busy after its whole time, although the instance was idle.

Cause: an injected reply was taken for that of a ROLLBACK which the instance never answered so, so the connection was pooled while a transaction was open at the instance. The reply to the RESET before the next statement had a state that cannot follow and was dropped as foreign; no other reply came, and since the instance answers on its connections, the wait was not limited to 600 ms.

A connection with a foreign reply is now given up 600 ms after its last statement, whatever else the instance sends, and the statement is tried elsewhere unless it may have taken effect. The instance is not reported as lost.

--- a/src/decision/session/InstanceConnectionPool.cpp
+++ b/src/decision/session/InstanceConnectionPool.cpp
@@ -156,6 +156,7 @@
   Connection.m_State = State;
   Connection.m_SentAt = Now;
   Connection.m_Sent = Sent;
+  Connection.m_HasForeignReply = false;
   m_Actions.push_back(
       SendToInstance{Connection.m_Id, std::move(Sent), MinPosition});
 }
--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -595,8 +595,9 @@
       Unresponsive.push_back(Connection.m_Id);
       continue;
     }
-    bool HasInput = m_Tracker.healthOf(Connection.m_Instance).m_LastInputAt >=
-                    Connection.m_SentAt;
+    bool HasInput = !Connection.m_HasForeignReply &&
+                    m_Tracker.healthOf(Connection.m_Instance).m_LastInputAt >=
+                        Connection.m_SentAt;
     if (Waited < (IsConnecting ? kConnectTimeout : kResponseTimeout) ||
         (HasInput && !IsConnecting))
       continue;
@@ -607,8 +608,13 @@
       continue;
     Unresponsive.push_back(Connection.m_Id);
   }
-  for (ConnectionId Id : Unresponsive)
-    onClosed(Id, Now);
+  for (ConnectionId Id : Unresponsive) {
+    const InstanceConnection *Connection = m_Pool.find(Id);
+    if (Connection != nullptr && Connection->m_HasForeignReply)
+      dropConnection(Id, "sent replies to other statements only", Now);
+    else
+      onClosed(Id, Now);
+  }
 }
 
 void StatementExecutor::leaveClosedZones(Time Now) {
--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -196,6 +196,7 @@
 void StatementExecutor::onForeignReply(InstanceConnection &Connection,
                                        const StatementReply &Reply, Time Now) {
   reportDefect(Connection, ReplyDefect::Unrequested);
+  Connection.m_HasForeignReply = true;
   // Copies of replies without receipt cannot be recognised and are harmless:
   // they answer statements that the proxy issued itself.
   bool HasContent =
--- a/tests/session/SurplusReplyTest.cpp
+++ b/tests/session/SurplusReplyTest.cpp
@@ -486,6 +486,25 @@
   }
 }
 
+// Guards against a statement that waits for its whole time on a connection
+// whose instance is in another transaction state than the proxy believes.
+TEST_CASE("session: a statement leaves a connection with a reply that cannot "
+          "be its own when no other reply comes") {
+  Answered Test;
+  Test.m_Harness.send(Test.m_Id, SessionHarness::set("zone", "2"));
+  Test.m_Harness.send(Test.m_Id, SessionHarness::write());
+  std::string Request = Test.m_Harness.lastRequest();
+  Test.awaitSent(StatementKind::SetVariable);
+  StatementReply InTransaction;
+  InTransaction.m_State = TransactionState::Open;
+  Test.answer(InTransaction);
+  Test.primary().m_DropsReplies = false;
+  Test.m_Harness.run(milliseconds(900));
+  REQUIRE(Test.replies().size() == 62);
+  CHECK_FALSE(Test.replies().back().m_Error);
+  CHECK(Test.m_Harness.m_ExecutedWrites[Request] == 1);
+}
+
 // CRASH, HANG: replies of any form at any time, while sessions open, leave and
 // miss their deadlines.
 TEST_CASE("session: after replies of any form at any time the host serves "
