Take no reply for that of the handshake

Its state marked a transaction as open, so the first statement of a real transaction was sent without BEGIN: a write took effect at once, and the connection stayed pinned after its session.

Callers could not see it: the platform's codec reports the first ready line as the end of the handshake, and no reply before it. The decision library no longer depends on that.

The new test failed before (no BEGIN, the write executed).

--- a/src/decision/session/ReplyCheck.cpp
+++ b/src/decision/session/ReplyCheck.cpp
@@ -104,7 +104,8 @@
                         const StatementReply &Reply) {
   if (!Reply.m_Receipt.empty() && History.hasReceipt(Reply.m_Receipt))
     return ReplyVerdict::Repeated;
-  bool IsOutstanding = Expected.m_State != ConnectionState::Idle &&
+  bool IsOutstanding = Expected.m_State != ConnectionState::Connecting &&
+                       Expected.m_State != ConnectionState::Idle &&
                        Expected.m_State != ConnectionState::Pinned;
   if (!IsOutstanding)
     return Reply.m_Error && History.hasRejection(Reply) ? ReplyVerdict::Repeated
--- a/tests/session/RepeatedReplyTest.cpp
+++ b/tests/session/RepeatedReplyTest.cpp
@@ -267,3 +267,24 @@
   CHECK(Harness.receivedCount(1, StatementKind::Read) > Before);
   CHECK(Harness.connectionCount(1) == 1);
 }
+
+// PINNED: a reply that comes before the handshake has ended says that a
+// transaction is open, and the first write is sent without its BEGIN.
+TEST_CASE("session: a reply during the handshake does not open a transaction") {
+  SessionHarness Harness(1, 2);
+  SessionId Id = Harness.open("primary");
+  Harness.send(Id, SessionHarness::begin());
+  Harness.send(Id, SessionHarness::write());
+  for (int Step = 0; Step < 100 && Harness.m_Connections.empty(); ++Step)
+    Harness.run(milliseconds(1));
+  REQUIRE(Harness.m_Connections.size() == 1);
+  StatementReply InTransaction;
+  InTransaction.m_State = TransactionState::Open;
+  Harness.handle(
+      InstanceReplied{Harness.m_Connections.begin()->first, InTransaction});
+  Harness.run(milliseconds(200));
+  CHECK(Harness.receivedCount(SessionHarness::kPrimary, StatementKind::Begin) ==
+        1);
+  CHECK(Harness.m_ExecutedWrites.empty());
+  CHECK_FALSE(Harness.sendAndWait(Id, SessionHarness::commit()).m_Error);
+}
