--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -726,7 +726,7 @@
        "Replies of instances that came once more",
        static_cast<double>(m_RepeatedReplies)},
       {"almondpier_rejections_confirmed_total",
-       "Rejections that could be copies and were confirmed by a reset",
+       "Rejections that could be copies and were put to a confirmation",
        static_cast<double>(m_ConfirmedRejections)},
       {"almondpier_instances_ramping",
        "Instances whose load is being raised after a start or a return",
