Tell pauses of the machine from faults in the wire tests

A trial that stops the test process for 600 ms in every 900 ms failed in three wire tests: a host gives connections up after 600 ms without input, and another host becomes the owner.

The fixture measures the longest time between two turns of its loop.

--- a/tests/platform/WireFixture.h
+++ b/tests/platform/WireFixture.h
@@ -723,6 +723,9 @@
     return Sum;
   }
   size_t otherHost() const { return (m_Owner + 1) % kHosts; }
+  /// The process did not run for so long that hosts may have taken instances or
+  /// each other for lost.
+  bool wasPaused() const { return m_LongestPause >= milliseconds(200); }
 
   EventLoop m_Loop;
   /// Runs the callbacks that closed streams have deferred. Without it they
@@ -811,12 +814,17 @@
     m_Callers.clear();
   }
   void pump() {
+    Time Now = m_Loop.now();
+    m_LongestPause = std::max(m_LongestPause, Now - m_LastPump);
+    m_LastPump = Now;
     m_Database.pump();
     for (const std::unique_ptr<RawCaller> &Caller : m_Callers)
       Caller->pump();
   }
 
   uint64_t m_LastRequest = 0;
+  Time m_LastPump = m_Loop.now();
+  Duration m_LongestPause{};
   Endpoint m_ControlEndpoint = freeEndpoint();
   WireControl m_Control{m_Loop, m_ControlEndpoint};
   std::vector<Endpoint> m_Listen;
