Treat a large result without receipt as no reply

A reply with more than 2 MiB of rows and no receipt became the error "too large" and counted as the statement's own rejection, so its true reply answered the next write on the connection. Only a statement with a receipt has rows: the connection is now closed, as for other lines that are no reply.

The test failed before (receipt of the first write for the second).

--- a/src/session/SessionServerImpl.h
+++ b/src/session/SessionServerImpl.h
@@ -146,6 +146,9 @@
   if (!std::exchange(Peer.m_HasResult, false))
     return dispatch(InstanceReplyInvalid{
         Id, Bytes == 0 ? ReplyDefect::NoResult : ReplyDefect::InvalidLine});
+  // Only a statement with a receipt has rows.
+  if (Bytes > kMaxReplyBytes && !Reply.m_Error && Reply.m_Receipt.empty())
+    return dispatch(InstanceReplyInvalid{Id, ReplyDefect::InvalidLine});
   // The receipt stays, because it tells a copy of the reply.
   if (Bytes > kMaxReplyBytes && !Reply.m_Error) {
     Reply.m_Rows.clear();
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -666,3 +666,47 @@
         CHECK(Caller.m_Lines[0].starts_with("ERROR MALFORMED "));
       }
 }
+
+// MIXED: a reply without receipt that is too large is taken for a
+// rejection of the statement, and the true reply answers the next one.
+TEST_CASE("wire: a result without receipt that is too large is no "
+          "reply to a write") {
+  for (size_t RowBytes : {size_t{100}, size_t{900'000}}) {
+    WireFleet Fleet(1, kLongTimeoutMs);
+    Fleet.m_Database.m_IsWhole = true;
+    INFO("row bytes " << RowBytes);
+    std::string Late;
+    uint64_t LateOn = 0;
+    std::string Surplus;
+    for (int Row = 0; Row < 3; ++Row)
+      Surplus += "ROW " + std::string(RowBytes, 'r') + "\r\n";
+    Surplus += "COMPLETE -\r\nREADY I -\r\n";
+    Fleet.m_Database.m_OnReply = [&](const Execution &Run,
+                                     const std::string &Bytes) {
+      if (Run.m_Text == "WRITE item first") {
+        // The true reply comes late when the write is told before.
+        Late = RowBytes > 1'000 ? Bytes : "";
+        LateOn = Run.m_Connection;
+        return RowBytes > 1'000 ? Surplus : Surplus + Bytes;
+      }
+      if (Run.m_Text == "WRITE item second" && Run.m_Connection == LateOn)
+        return std::exchange(Late, "") + Bytes;
+      return Bytes;
+    };
+    RawCaller &Caller = Fleet.addWholeCaller(Fleet.m_Owner);
+    std::string FirstId = Fleet.newId();
+    std::optional<Outcome> First =
+        Fleet.ask(Caller, FirstId, "WRITE item first");
+    std::string Id = Fleet.newId();
+    std::optional<Outcome> Second = Fleet.ask(Caller, Id, "WRITE item second");
+    REQUIRE(First);
+    REQUIRE(Second);
+    INFO("first told " << (First->m_Code.empty() ? "success" : First->m_Code));
+    INFO("second told " << (Second->m_Code.empty() ? "success"
+                                                   : Second->m_Code));
+    REQUIRE(!Fleet.m_Database.m_Executions[Id].empty());
+    if (Second->m_Code.empty())
+      CHECK(Second->m_Receipt ==
+            Fleet.m_Database.m_Executions[Id].back().m_Receipt);
+  }
+}
