Date the reply to a write by the time it was sent

Callers could read data older than their route allows. While a rejection was confirmed, the time of the last statement was that of the confirmation; the true reply to the write then confirmed the position of the primary for that later time. The time of the rejected statement is kept beside it. The test failed before: a read 1,700 ms after a write did not have it, with a limit of 1,500 ms.

--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -26,6 +26,7 @@
   ConnectionState m_State = ConnectionState::Executing;
   /// The statement that it seems to answer.
   Statement m_Statement;
+  Time m_SentAt;
   bool m_InTransaction = false;
   /// Statements whose replies confirm it, without the one that was sent last.
   std::deque<StatementKind> m_Left;
--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -224,6 +224,7 @@
   UnconfirmedRejection Rejection{Reply,
                                  Connection.m_State,
                                  Connection.m_Sent,
+                                 Connection.m_SentAt,
                                  Connection.m_InTransaction,
                                  {}};
   if (Connection.m_InTransaction)
@@ -294,6 +295,7 @@
       *std::exchange(Connection.m_Unconfirmed, std::nullopt);
   Connection.m_State = Rejection.m_State;
   Connection.m_Sent = std::move(Rejection.m_Statement);
+  Connection.m_SentAt = Rejection.m_SentAt;
   Connection.m_IsInSync = true;
   // The confirmation has rolled back a transaction that was open.
   Rejection.m_Reply.m_State = TransactionState::None;
@@ -320,6 +322,7 @@
   }
   Connection.m_State = Rejection.m_State;
   Connection.m_Sent = Rejection.m_Statement;
+  Connection.m_SentAt = Rejection.m_SentAt;
   Connection.m_Unconfirmed.reset();
   onOwnReply(Connection, Reply, Now);
   return true;
