Confirm no position with the reply to BEGIN

Callers could read data older than their route allows. A late copy of the reply to an earlier BEGIN was taken for that to the present one, and its old position for the present one of the primary. The reply has no receipt, so it proves nothing. The statement that follows in the transaction confirms the position with its receipt, one round trip later. The test failed before.

--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -405,11 +405,9 @@
 void StatementExecutor::onBeginReplied(CallerSession &Session,
                                        InstanceConnection &Connection,
                                        const StatementReply &Reply, Time Now) {
+  // A copy of an earlier reply to BEGIN would confirm an old position. The
+  // statement that follows confirms the position with its receipt.
   if (!Reply.m_Error) {
-    const InstanceDescription *Instance = m_Tracker.find(Connection.m_Instance);
-    if (Connection.m_ChecksLeadership && Instance != nullptr)
-      m_Tracker.onLeadershipConfirmed(*Instance, Reply.m_Position,
-                                      Connection.m_SentAt, Now);
     if (Session.m_State != TransactionState::None)
       Session.m_PinnedConnection = Connection.m_Id;
     return sendStatement(Session, Connection, m_Selector.requirementOf(Session),
