Remember defective instances for a whole minute

All of them were forgotten at fixed times, so a defect shortly before was remembered for less than a second. They are now kept for one interval more.

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -30,7 +30,8 @@
 /// A connection on which no caller awaits the reply is closed when it has not
 /// come for this time, also when the instance replies on other connections.
 constexpr Duration kUnclaimedReplyTimeout = milliseconds(2'000);
-/// Interval at which the instances that sent defective replies are forgotten.
+/// Instances that sent defective replies are remembered for this time at least,
+/// and for twice as long at most.
 constexpr Duration kDefectMemory = milliseconds(60'000);
 /// Opening a connection takes two round trips and some work at the instance,
 /// which may be queued behind a dozen statements.
@@ -676,7 +677,7 @@
 void StatementExecutor::tick(Time Now) {
   if (Now - m_DefectsClearedAt >= kDefectMemory) {
     m_DefectsClearedAt = Now;
-    m_DefectiveInstances.clear();
+    m_EarlierDefectiveInstances = std::exchange(m_DefectiveInstances, {});
   }
   closeUnresponsive(Now);
   leaveClosedZones(Now);
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -194,6 +194,8 @@
   Time m_ReportedAt;
   /// Instances that sent defective replies since m_DefectsClearedAt.
   std::set<InstanceName> m_DefectiveInstances;
+  /// Those of the interval before.
+  std::set<InstanceName> m_EarlierDefectiveInstances;
   Time m_DefectsClearedAt;
   /// Remaining retry budget; grows by a fraction of a retry with each
   /// statement.
--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -217,7 +217,8 @@
   if (!Connection.m_Session)
     return m_Pool.close(Connection.m_Id);
   // Copies of several replies together could look like the confirmation.
-  if (m_DefectiveInstances.contains(Connection.m_Instance))
+  if (m_DefectiveInstances.contains(Connection.m_Instance) ||
+      m_EarlierDefectiveInstances.contains(Connection.m_Instance))
     return dropConnection(Connection.m_Id, "may have sent a rejection twice",
                           Now);
   ++m_ConfirmedRejections;
