Confirm the rejection of a read that has no attempt left

With an empty retry budget it was told the unconfirmed rejection, although its true reply might follow. Without another attempt it now waits for the confirmation, as before.

--- a/src/decision/session/StatementExecutor.cpp
+++ b/src/decision/session/StatementExecutor.cpp
@@ -473,6 +473,20 @@
        "the connection to " + Instance.m_Value + " is lost");
 }
 
+/// Rejections by a lagging replica, by an instance that is not the primary and
+/// of a connection cost the instance almost nothing and do not count against
+/// the retry budget.
+static bool isCheapRejection(SessionError Error) {
+  return Error == SessionError::Lagging || Error == SessionError::ReadOnly ||
+         Error == SessionError::TooManyConnections;
+}
+
+bool StatementExecutor::canRetry(const CallerSession &Session,
+                                 SessionError Error) const {
+  return Session.m_Pending->m_Attempts + 1 < kMaxAttempts &&
+         (isCheapRejection(Error) || m_RetryTokens >= 1);
+}
+
 void StatementExecutor::retry(CallerSession &Session,
                               const InstanceName &Failed,
                               const std::string &Reason, SessionError Error,
@@ -488,13 +502,8 @@
   if (Session.m_Origin && Pending.m_Target != StatementTarget::CaughtUp &&
       m_Tracker.isLost(Failed, Now))
     return returnToEntryHost(Session, Pending.m_LastFailure);
-  // Rejections by a lagging replica, by an instance that is not the primary and
-  // of a connection cost the instance almost nothing and do not count against
-  // the retry budget.
-  bool IsCheap = Error == SessionError::Lagging ||
-                 Error == SessionError::ReadOnly ||
-                 Error == SessionError::TooManyConnections;
-  if (Pending.m_Attempts >= kMaxAttempts || (!IsCheap && !takeRetryToken()))
+  if (Pending.m_Attempts >= kMaxAttempts ||
+      (!isCheapRejection(Error) && !takeRetryToken()))
     return fail(Session,
                 provesNotExecuted(Error) ? Error : SessionError::Aborted,
                 Pending.m_LastFailure);
--- a/src/decision/session/StatementExecutor.h
+++ b/src/decision/session/StatementExecutor.h
@@ -155,6 +155,8 @@
   /// Returns the connection to the pool, after a rollback when a transaction is
   /// open.
   void releaseConnection(InstanceConnection &Connection, Time Now);
+  /// Returns whether retry() would schedule another attempt.
+  bool canRetry(const CallerSession &Session, SessionError Error) const;
   /// Schedules another attempt of the pending statement, or fails it when its
   /// attempts or the retry budget are exhausted.
   void retry(CallerSession &Session, const InstanceName &Failed,
--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -250,7 +250,8 @@
       Rejection.m_State == ConnectionState::Beginning
           ? errorOfRejectedBegin(Rejection.m_Reply)
           : errorToRetry(Session, Rejection.m_Reply);
-  if (!Error)
+  // Without another attempt the caller is told the confirmed outcome.
+  if (!Error || !canRetry(Session, *Error))
     return;
   Connection.m_Session.reset();
   Session.m_PinnedConnection.reset();
