Deliver the true reply to a single read

Behind a BEGIN of the proxy the true reply of a read whose rejection was a copy closed the connection, because the confirmation rolls the transaction back, and the read was refused when it had no attempt left. A single read does not depend on that transaction. The test failed before for four of six states of the retry budget.

--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -316,7 +316,14 @@
   reportDefect(Connection, ReplyDefect::Repeated);
   // The replies to the confirmation are still to come.
   Connection.m_IsRetiring = true;
-  bool IsRolledBack = Rejection.m_InTransaction &&
+  auto Found = Connection.m_Session
+                   ? m_Sessions.find(Connection.m_Session->m_Value)
+                   : m_Sessions.end();
+  bool IsSingle = Found != m_Sessions.end() &&
+                  Found->second.m_State == TransactionState::None;
+  // The confirmation rolls the caller's transaction back. That around a single
+  // read is the proxy's.
+  bool IsRolledBack = Rejection.m_InTransaction && !IsSingle &&
                       Rejection.m_Statement.m_Kind != StatementKind::Commit;
   if (IsRolledBack) {
     dropConnection(Connection.m_Id, "sent a rejection twice", Now);
