Limit the wait after a foreign reply to statements of the proxy

Since a connection was given up 600 ms after a reply that cannot be the awaited one, also when that was a harmless copy and a statement of a caller took longer. Statements that the proxy issues need no slot and are answered within a round trip; only they are limited. A ready line without a result counts the same way.

--- a/src/decision/session/InstanceConnectionPool.h
+++ b/src/decision/session/InstanceConnectionPool.h
@@ -69,8 +69,8 @@
   /// The instance sent a reply that no statement explains. The connection is
   /// closed instead of being used again.
   bool m_IsRetiring = false;
-  /// A reply arrived that cannot answer the statement that was sent last. If
-  /// the instance meant it as the answer, no other one comes.
+  /// A reply arrived that cannot answer the proxy's own statement that was sent
+  /// last. If the instance meant it as the answer, no other one comes.
   bool m_HasForeignReply = false;
 };
 
--- a/src/decision/session/StatementReplies.cpp
+++ b/src/decision/session/StatementReplies.cpp
@@ -4,6 +4,12 @@
 
 namespace almondpier {
 
+static void markForeignReply(InstanceConnection &Connection) {
+  // A statement of a caller may take longer than any of the proxy.
+  if (Connection.m_State != ConnectionState::Executing)
+    Connection.m_HasForeignReply = true;
+}
+
 /// Returns the error of the caller should a further attempt fail as well.
 static SessionError errorOfRejectedBegin(const StatementReply &Reply) {
   return provesNotExecuted(*Reply.m_Error) ? *Reply.m_Error
@@ -161,7 +167,7 @@
   Connection->m_IsRetiring = true;
   if (Event.m_Defect == ReplyDefect::NoResult &&
       Connection->m_State != ConnectionState::Idle)
-    return;
+    return markForeignReply(*Connection);
   // Nothing shows that a connection can be opened to this instance.
   if (Connection->m_State == ConnectionState::Connecting)
     return onClosed(Event.m_Connection, Now);
@@ -196,7 +202,7 @@
 void StatementExecutor::onForeignReply(InstanceConnection &Connection,
                                        const StatementReply &Reply, Time Now) {
   reportDefect(Connection, ReplyDefect::Unrequested);
-  Connection.m_HasForeignReply = true;
+  markForeignReply(Connection);
   // Copies of replies without receipt cannot be recognised and are harmless:
   // they answer statements that the proxy issued itself.
   bool HasContent =
