Run deferred callbacks before a loop ends

Seen in "control: a list of instances..." and in a test of proxies; it depends on the moment.

The loop now runs them when it ends.

--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -112,7 +112,11 @@
     throw Error(ErrorKind::Internal, "libsodium could not be initialised");
 }
 
-EventLoop::~EventLoop() { event_base_free(m_Base); }
+EventLoop::~EventLoop() {
+  // Closed connections stay allocated until their deferred callbacks have run.
+  event_base_loop(m_Base, EVLOOP_NONBLOCK);
+  event_base_free(m_Base);
+}
 
 void EventLoop::run() { event_base_loop(m_Base, EVLOOP_NO_EXIT_ON_EMPTY); }
 
