--- a/tests/session/AmbiguousReplyTest.cpp
+++ b/tests/session/AmbiguousReplyTest.cpp
@@ -348,6 +348,7 @@
         CHECK(Used.m_State != TransactionState::None);
       };
       std::vector<SessionId> Callers;
+      Callers.reserve(3);
       std::map<SessionId, bool> IsOpen;
       for (int Index = 0; Index < 3; ++Index)
         Callers.push_back(Harness.open("primary"));
