--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -260,6 +260,7 @@
 };
 static std::vector<Machine> gMachines;
 static Ports gPorts;
+static std::vector<std::string> gSeeds; // addresses of the machines
 static fs::path gFolder; // temporary folder of the run
 static std::mutex gChildrenMutex;
 static std::map<std::string, pid_t> gChildren; // by "role machine"
@@ -278,6 +279,8 @@
           "127.71." + std::to_string(Zone + 1) + "." + std::to_string(Number);
       Added.HasDisk = Number == 1;
       Added.ServesControl = Number <= 2; // count = 2 in each zone
+      if (Added.HasDisk) // at first, one seed in each zone
+        gSeeds.push_back(Added.Ip);
       gMachines.push_back(Added);
     }
 }
@@ -343,13 +346,8 @@
          << "\nlisten.readiness=" << At(gPorts.Readiness) << "\n";
   Text << "internalPorts=" << gPorts.First << "," << gPorts.First + 15
        << "\nseeds=";
-  // One seed in each zone: the machines with a disk.
-  bool IsFirst = true;
-  for (const Machine &Each : gMachines)
-    if (Each.HasDisk) {
-      Text << (IsFirst ? "" : ",") << Each.Ip << ":" << gPorts.Control;
-      IsFirst = false;
-    }
+  for (size_t Index = 0; Index < gSeeds.size(); ++Index)
+    Text << (Index == 0 ? "" : ",") << gSeeds[Index] << ":" << gPorts.Control;
   Text << "\nbootstrap=" << (IsFirstStart ? "true" : "false")
        << "\ninFailureBudget=" << (On.HasDisk ? "true" : "false")
        << "\nlimits.cpuShare=" << (On.HasDisk ? "0.45" : "0.25")
@@ -404,6 +402,61 @@
   gChildren[Role + " " + On.Name] = Child;
 }
 
+static std::vector<std::string> rolesOf(const Machine &On) {
+  return On.ServesControl ? std::vector<std::string>{"control", "proxy"}
+                          : std::vector<std::string>{"proxy"};
+}
+
+// Kills all processes of the machines at the same moment. With LosesDisk their
+// folders are emptied.
+static void killMachines(const std::vector<const Machine *> &Machines,
+                         bool LosesDisk) {
+  std::vector<pid_t> Killed;
+  {
+    std::lock_guard Lock(gChildrenMutex);
+    for (const Machine *Each : Machines)
+      for (const std::string &Role : rolesOf(*Each)) {
+        auto Found = gChildren.find(Role + " " + Each->Name);
+        if (Found == gChildren.end())
+          continue;
+        kill(Found->second, SIGKILL);
+        Killed.push_back(Found->second);
+        gChildren.erase(Found);
+      }
+  }
+  for (pid_t Child : Killed)
+    waitpid(Child, nullptr, 0);
+  for (const Machine *Each : Machines) {
+    note("all processes on %s are killed%s", Each->Name.c_str(),
+         LosesDisk ? ", its disk is lost" : "");
+    if (LosesDisk)
+      fs::remove_all(gFolder / "data" / Each->Name);
+  }
+}
+
+static void startMachines(const std::vector<const Machine *> &Machines) {
+  for (const Machine *Each : Machines) {
+    note("the processes on %s start again", Each->Name.c_str());
+    for (const std::string &Role : rolesOf(*Each))
+      startRole(*Each, Role, false);
+  }
+}
+
+// The settings files name other seeds; each process gets SIGHUP.
+static void turnSeedsOver(std::vector<std::string> Seeds) {
+  gSeeds = std::move(Seeds);
+  std::string Names;
+  for (const std::string &Seed : gSeeds)
+    Names += " " + Seed;
+  note("the settings files name the seeds%s", Names.c_str());
+  for (const Machine &Each : gMachines)
+    for (const std::string &Role : rolesOf(Each))
+      writeSettings(Each, Role, false);
+  std::lock_guard Lock(gChildrenMutex);
+  for (auto &[Name, Child] : gChildren)
+    kill(Child, SIGHUP);
+}
+
 static void endAllRoles() {
   std::lock_guard Lock(gChildrenMutex);
   for (auto &[Name, Child] : gChildren)
@@ -1120,6 +1173,28 @@
   return Text.str();
 }
 
+// Reads the configuration at each control host in turn; returns how many
+// answered 200.
+static size_t readConfiguration() {
+  size_t Answers = 0;
+  for (const Machine &Each : gMachines) {
+    if (!Each.ServesControl)
+      continue;
+    std::string Ip = Each.Ip;
+    HttpReply Reply;
+    for (int Hop = 0; Hop < 3; ++Hop) {
+      Reply = httpCall(Ip, gPorts.Control, "GET", "/-/Config.Get", "", 1000);
+      if (Reply.Status != 307)
+        break;
+      Ip = Reply.Location.substr(7, Reply.Location.find(':', 7) - 7);
+    }
+    note("read of the configuration at %s: %d %s", Each.Name.c_str(),
+         Reply.Status, Reply.Body.substr(0, 14).c_str());
+    Answers += Reply.Status == 200 ? 1 : 0;
+  }
+  return Answers;
+}
+
 static void putConfiguration(uint64_t Version) {
   std::string Body = configuration(Version);
   for (int Try = 0; Try < 120 && !gStop; ++Try) {
@@ -1246,6 +1321,51 @@
   }
 }
 
+// Operations of the consumers of useSteadily: when each began, whether it was
+// served.
+static std::mutex gOperationsMutex;
+static std::vector<std::pair<double, bool>> gOperations;
+
+// Reads on a route, one operation after the other, each with two retries at
+// other nodes.
+static void useSteadily(const char *Host, int IntervalMs) {
+  Consumer Self;
+  Self.Host = Host;
+  Self.Key = "key-of-races";
+  while (!gStop) {
+    pauseMs(IntervalMs);
+    double Begun = nowMs();
+    bool IsServed = false;
+    std::string Outcome = "no connection";
+    for (int Try = 0; Try < 3 && !IsServed && !gStop; ++Try) {
+      if (!Self.open())
+        continue;
+      Consumer::Answer Answer =
+          Self.query(Self.newId(), "READ item" + std::to_string(Try), 2500);
+      IsServed = Answer.IsWhole && Answer.Error.empty();
+      Outcome = IsServed ? "served" : Answer.IsWhole ? Answer.Error : "cut";
+      if (!IsServed)
+        Self.leave();
+    }
+    if (gStop)
+      return;
+    note("read on %s, begun at %.1f ms: %s", Host, Begun, Outcome.c_str());
+    std::lock_guard Lock(gOperationsMutex);
+    gOperations.emplace_back(Begun, IsServed);
+  }
+}
+
+static std::pair<size_t, size_t> servedBetween(double From, double To) {
+  std::lock_guard Lock(gOperationsMutex);
+  std::pair<size_t, size_t> Result;
+  for (auto &[Begun, IsServed] : gOperations)
+    if (Begun >= From && Begun < To) {
+      ++Result.second;
+      Result.first += IsServed ? 1 : 0;
+    }
+  return Result;
+}
+
 // Course of a case.
 
 static void startFleet() {
@@ -1461,6 +1581,70 @@
   return judgeLost();
 }
 
+// The seeds are exchanged for the control hosts without a disk, which are
+// then killed at once and start again. A machine loses its disk; later another
+// one does, as the final fault. Without the disruption the seeds stay.
+static int runTurnedSeeds(const std::string &Trouble) {
+  gGroup.SyncReplicas = 0;
+  startFleet();
+  startDatabase();
+  pauseMs(1500);
+  putConfiguration(1);
+  awaitReady();
+  for (const char *Host : {"standings", "registration", "splittimes"})
+    for (int Count = 0; Count < 4; ++Count)
+      startThread([Host] { useSteadily(Host, 120); });
+  startWriters(2, 150);
+  pauseMs(4000);
+  requireServed(10);
+  std::vector<const Machine *> Durable, Relays;
+  for (const Machine &Each : gMachines)
+    if (Each.HasDisk)
+      Durable.push_back(&Each);
+    else if (Each.ServesControl)
+      Relays.push_back(&Each);
+  if (Trouble == "1") {
+    std::vector<std::string> Seeds;
+    for (const Machine *Each : Relays)
+      Seeds.push_back(Each->Ip);
+    turnSeedsOver(Seeds);
+  }
+  pauseMs(3000);
+  killMachines(Relays, false);
+  pauseMs(1000);
+  startMachines(Relays);
+  pauseMs(5000);
+  killMachines({Durable[2]}, true);
+  pauseMs(1000);
+  startMachines({Durable[2]});
+  // catchUpS is 4 s.
+  pauseMs(12000);
+  putConfiguration(2);
+  double FinalFault = nowMs();
+  killMachines({Durable[1]}, true);
+  pauseMs(1000);
+  startMachines({Durable[1]});
+  double Back = nowMs();
+  pauseMs(12000); // recoverS
+  double Recovered = nowMs();
+  pauseMs(8000);
+  size_t Reads = 0;
+  for (int Round = 0; Round < 3; ++Round) { // for more than contactMs
+    Reads += readConfiguration();
+    pauseMs(2000);
+  }
+  auto [ServedBefore, Before] = servedBetween(0, FinalFault);
+  auto [ServedAfter, After] = servedBetween(Recovered, nowMs() - 8000);
+  note("result: before the final fault %zu of %zu reads were served; of those "
+       "begun later than 12 s after the machine was back (%.1f ms), %zu of "
+       "%zu; %zu of 18 reads of the configuration were answered",
+       ServedBefore, Before, Back, ServedAfter, After, Reads);
+  if (After < 20 || ServedBefore * 4 < Before)
+    throw CannotRun("too few operations to judge");
+  bool HasRecovered = ServedAfter * 4 >= After;
+  return HasRecovered && Reads > 0 ? 0 : 1;
+}
+
 struct Case {
   const char *Name;
   int (*Run)(const std::string &);
@@ -1468,7 +1652,8 @@
 static const Case kCases[] = {{"release", runRelease},
                               {"second-release", runSecondRelease},
                               {"start-during-release", runStartDuringRelease},
-                              {"late-leave", runLateLeave}};
+                              {"late-leave", runLateLeave},
+                              {"turned-seeds", runTurnedSeeds}};
 
 int main(int Count, char **Arguments) {
   if (Count != 4) {
