review: cases of entries: a foreign check-in and late statements at a stop (9, 10)

Case 9: after the final fault, check-ins of another writer keep all services out. Case 10: statements that begin late in the grace time are cut at the exit.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Shows the case of claim.txt. TROUBLE=0: the primary alone is replaced, while no replica drains.
+# Shows the case of claim.txt. TROUBLE=0: the same replacement, and no other instance starts meanwhile.
 # Exit: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/fleet
 for needed in "$program" target/almondpier-platform-proxy target/almondpier-platform-control; do
   [ -x "$needed" ] || { echo "$needed is missing: run the build of the deploy file and review/build-2.sh" >&2; exit 2; }
 done
-timeout -k 2 110 "$program" release review/7 "${TROUBLE:-1}"
+timeout -k 2 110 "$program" start-during-release review/7 "${TROUBLE:-1}"
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -499,7 +499,7 @@
 };
 
 struct Instance {
-  std::string Id, Ip, Zone;
+  std::string Id, Service, Ip, Zone;
   bool IsUp = false;
   bool IsPrimary = false;
   bool IsDraining = false;
@@ -521,7 +521,7 @@
 };
 
 struct Group {
-  std::string Service = "race-records-1";
+  std::vector<std::string> Services{"race-records-1"};
   int Slots = 3;
   int MaxConnections = 23;
   int Queue = 24;
@@ -534,7 +534,9 @@
   // Commits whose acknowledgement a consumer has read, by request id.
   std::map<std::string, double> Acknowledged;
   std::vector<std::string> Lost;
-  uint64_t HighestFence = 0;
+  // Ids of the reads, writes and commits that reached an instance.
+  std::set<std::string> Arrived;
+  std::map<std::string, uint64_t> HighestFence; // by service
   uint64_t Promotions = 0;
   uint64_t Receipts = 0;
   // Called with the lock when a promotion has been ordered.
@@ -542,12 +544,13 @@
   // Called with the lock when one takes place.
   std::function<void(Instance &)> OnPromoted;
 
-  std::shared_ptr<Instance> primary() {
+  std::shared_ptr<Instance> primary(const std::string &Service) {
     for (auto &[Id, Each] : Instances)
-      if (Each->IsUp && Each->IsPrimary)
+      if (Each->IsUp && Each->IsPrimary && Each->Service == Service)
         return Each;
     return nullptr;
   }
+  std::shared_ptr<Instance> primary() { return primary(Services.front()); }
 };
 static Group gGroup;
 static std::vector<std::thread> gThreads;
@@ -564,12 +567,12 @@
   while (!gStop) {
     {
       std::lock_guard Lock(gGroup.Mutex);
-      auto Primary = gGroup.primary();
       bool Moved = false;
-      if (Primary)
+      for (const std::string &Service : gGroup.Services)
         for (auto &[Id, Replica] : gGroup.Instances) {
-          if (!Replica->IsUp || Replica->IsPrimary || Replica->IsDeaf ||
-              Replica->HeldTerm != 0)
+          auto Primary = gGroup.primary(Service);
+          if (!Primary || Replica->Service != Service || !Replica->IsUp ||
+              Replica->IsPrimary || Replica->IsDeaf || Replica->HeldTerm != 0)
             continue;
           Ms Delay(Replica->Zone == Primary->Zone ? 0 : gGroup.CrossZoneMs);
           while (Replica->Log.size() < Primary->Log.size()) {
@@ -588,10 +591,11 @@
   }
 }
 
-static bool isOnReplica(const std::string &Primary, const Position &At) {
+static bool isOnReplica(const Instance &Primary, const Position &At) {
   uint32_t Copies = 0;
   for (auto &[Id, Each] : gGroup.Instances)
-    if (Each->IsUp && Id != Primary && Each->received() >= At)
+    if (Each->IsUp && Id != Primary.Id && Each->Service == Primary.Service &&
+        Each->received() >= At)
       ++Copies;
   return Copies >= gGroup.SyncReplicas;
 }
@@ -656,7 +660,7 @@
                           const Position &At, uint64_t Leadership) {
   gGroup.Changed.wait(Lock, [&] {
     return gStop || !Of.IsUp || Of.Leadership != Leadership ||
-           isOnReplica(Of.Id, At);
+           isOnReplica(Of, At);
   });
   return !gStop && Of.IsUp && Of.Leadership == Leadership;
 }
@@ -778,9 +782,11 @@
     if (On.State != 'T')
       return Fail("MALFORMED");
   }
+  gGroup.Arrived.insert(Id);
   if (!occupySlot(Lock, Of))
     return Fail("BUSY");
-  work(Lock, Word == "COMMIT" ? 2 : 6);
+  // Reads of items named slow take the longest time of the site's standings.
+  work(Lock, Word == "COMMIT" ? 2 : Text.compare(0, 4, "slow") == 0 ? 300 : 6);
   std::optional<std::string> Answer;
   if (gStop || !Of.IsUp) {
     Answer = std::nullopt;
@@ -834,7 +840,7 @@
                 Who = takeWord(Text), Expected = takeWord(Text);
     std::unique_lock Lock(gGroup.Mutex);
     std::string Refusal;
-    if (Word != "STARTUP" || Service != gGroup.Service ||
+    if (Word != "STARTUP" || Service != On->Service ||
         (!Expected.empty() && Expected != On->Id))
       Refusal = "MISROUTED";
     else if (On->Connections >= gGroup.MaxConnections)
@@ -917,7 +923,7 @@
   {
     std::lock_guard Lock(gGroup.Mutex);
     IsDraining = Of->IsDraining;
-    Body << "{\"service\":\"" << gGroup.Service << "\",\"address\":\"" << Of->Ip
+    Body << "{\"service\":\"" << Of->Service << "\",\"address\":\"" << Of->Ip
          << ":" << gPorts.Database << "\",\"zone\":\"" << Of->Zone
          << "\",\"version\":\"v1\",\"slots\":" << gGroup.Slots
          << ",\"state\":\"" << (IsDraining ? "draining" : "ready")
@@ -967,9 +973,11 @@
 static std::shared_ptr<Instance> startInstance(const std::string &Id,
                                                const std::string &Ip,
                                                const std::string &Zone,
-                                               bool IsPrimary) {
+                                               bool IsPrimary,
+                                               size_t Service = 0) {
   auto Started = std::make_shared<Instance>();
   Started->Id = Id;
+  Started->Service = gGroup.Services[Service];
   Started->Ip = Ip;
   Started->Zone = Zone;
   Started->IsUp = true;
@@ -1032,7 +1040,11 @@
     return;
   Instance &Chosen = *Found->second;
   uint64_t Term = 0;
+  auto IsOther = [&](const Instance &Each) {
+    return Each.Service != Chosen.Service;
+  };
   for (auto &[Name, Each] : gGroup.Instances)
+    if (!IsOther(*Each))
     Term = std::max({Term, Each->Term, Each->HeldTerm});
   ++Term;
   std::set<std::string> Held;
@@ -1054,6 +1066,8 @@
        "acknowledged commits are not in its log",
        Id.c_str(), Term, Chosen.received().text().c_str(), Lost);
   for (auto &[Name, Each] : gGroup.Instances) {
+    if (IsOther(*Each))
+      continue;
     if (Each->IsPrimary && Name != Id) {
       Each->IsPrimary = false;
       ++Each->Leadership;
@@ -1104,10 +1118,12 @@
     {
       std::lock_guard Lock(gGroup.Mutex);
       auto Found = gGroup.Instances.find(Id);
-      if (Fence < gGroup.HighestFence || Found == gGroup.Instances.end() ||
+      uint64_t &Highest =
+          gGroup.HighestFence[jsonText(Body, "service").value_or("")];
+      if (Fence < Highest || Found == gGroup.Instances.end() ||
           !Found->second->IsUp)
         Status = 409;
-      gGroup.HighestFence = std::max(gGroup.HighestFence, Fence);
+      Highest = std::max(Highest, Fence);
       note("platform: promote %s by %s with fence %lu: %d", Id.c_str(),
            Holder.c_str(), Fence, Status);
       if (Status == 200 && !Found->second->IsPrimary) {
@@ -1144,29 +1160,39 @@
 
 static std::string configuration(uint64_t Version) {
   std::ostringstream Text;
+  // The databases of the first service are named standings, registration and
+  // splittimes; those of the others have a number after that.
+  size_t Number = 0;
+  std::string Suffix;
   auto Route = [&](const char *Name, const char *Host, const char *Type,
                    int Timeout, int Slo, int Priority, int Staleness) {
-    Text << "{\"name\":\"" << Name << "\",\"host\":\"" << Host
-         << "\",\"pathPrefix\":\"/\",\"type\":\"" << Type
+    Text << "{\"name\":\"" << Name << Suffix << "\",\"host\":\"" << Host
+         << Suffix << "\",\"pathPrefix\":\"/\",\"type\":\"" << Type
          << "\",\"timeoutMs\":" << Timeout << ",\"sloMs\":" << Slo
          << ",\"priority\":" << Priority << ",\"service\":\""
-         << gGroup.Service << "\",\"maxAttempts\":2,";
+         << gGroup.Services[Number] << "\",\"maxAttempts\":2,";
     if (Staleness)
       Text << "\"maxStalenessMs\":" << Staleness << ",";
     Text << "\"allowAnonymous\":false}";
   };
   Text << "{\"version\":" << Version << ",\"routes\":[";
-  Route("r-standings", "standings", "bounded_staleness", 2000, 600, 2, 1500);
-  Text << ",";
-  Route("r-registration", "registration", "primary", 1000, 200, 1, 0);
-  Text << ",";
-  Route("r-split", "splittimes", "read_your_writes", 1000, 400, 2, 2500);
-  Text << "],\"services\":[{\"name\":\"" << gGroup.Service
-       << "\",\"healthPath\":\"/health\",\"maxConns\":"
-       << gGroup.MaxConnections
-       << ",\"protocol\":\"h1\",\"tls\":false,\"syncReplicas\":"
-       << gGroup.SyncReplicas
-       << "}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
+  for (; Number < gGroup.Services.size(); ++Number) {
+    Suffix = Number == 0 ? "" : std::to_string(Number + 1);
+    Text << (Number == 0 ? "" : ",");
+    Route("r-standings", "standings", "bounded_staleness", 2000, 600, 2, 1500);
+    Text << ",";
+    Route("r-registration", "registration", "primary", 1000, 200, 1, 0);
+    Text << ",";
+    Route("r-split", "splittimes", "read_your_writes", 1000, 400, 2, 2500);
+  }
+  Text << "],\"services\":[";
+  for (const std::string &Service : gGroup.Services)
+    Text << (Service == gGroup.Services.front() ? "" : ",") << "{\"name\":\""
+         << Service << "\",\"healthPath\":\"/health\",\"maxConns\":"
+         << gGroup.MaxConnections
+         << ",\"protocol\":\"h1\",\"tls\":false,\"syncReplicas\":"
+         << gGroup.SyncReplicas << "}";
+  Text << "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
           "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"txIdleMs\":3000}"
           ",\"tenants\":[{\"name\":\"races\",\"apiKeys\":[\"key-of-races\"],"
           "\"priority\":1,\"ratePerS\":130,\"burst\":130}]}";
@@ -1241,11 +1267,13 @@
                   static_cast<unsigned long>(Random()));
     return Text;
   }
-  bool open() {
+  // Ip names the node; left out, any one is taken.
+  bool open(std::string Ip = "") {
     if (Socket >= 0)
       return true;
-    const Machine &At = gMachines[Random() % gMachines.size()];
-    Socket = connectTo(At.Ip, gPorts.Front, 500);
+    if (Ip.empty())
+      Ip = gMachines[Random() % gMachines.size()].Ip;
+    Socket = connectTo(Ip, gPorts.Front, 500);
     if (Socket < 0)
       return false;
     Reader = LineReader{Socket, {}};
@@ -1328,7 +1356,7 @@
 
 // Reads on a route, one operation after the other, each with two retries at
 // other nodes.
-static void useSteadily(const char *Host, int IntervalMs) {
+static void useSteadily(std::string Host, int IntervalMs) {
   Consumer Self;
   Self.Host = Host;
   Self.Key = "key-of-races";
@@ -1349,7 +1377,8 @@
     }
     if (gStop)
       return;
-    note("read on %s, begun at %.1f ms: %s", Host, Begun, Outcome.c_str());
+    note("read on %s, begun at %.1f ms: %s", Host.c_str(), Begun,
+         Outcome.c_str());
     std::lock_guard Lock(gOperationsMutex);
     gOperations.emplace_back(Begun, IsServed);
   }
@@ -1645,6 +1674,178 @@
   return HasRecovered && Reads > 0 ? 0 : 1;
 }
 
+// All processes of the system are killed, as the final fault. Then another
+// writer checks in an instance that doesn't exist, at the address of a replica
+// of each service.
+static int runForeignCheckIn(const std::string &Trouble) {
+  gGroup.SyncReplicas = 0;
+  gGroup.Services = {"race-records-1", "race-records-2", "race-records-3"};
+  startFleet();
+  std::vector<std::string> Replicas;
+  for (size_t Service = 0; Service < 3; ++Service)
+    for (size_t Number = 0; Number < 3; ++Number) {
+      std::string Id = "i-" + std::string(1, static_cast<char>('a' + Number)) +
+                       std::to_string(Service + 1);
+      std::string Ip = "127.71.5." + std::to_string(10 * Service + Number + 1);
+      startInstance(Id, Ip, kZones[(Service + Number) % 3], Number == 0,
+                    Service);
+      if (Number == 1)
+        Replicas.push_back(Ip);
+    }
+  pauseMs(1500);
+  putConfiguration(1);
+  awaitReady();
+  for (const char *Suffix : {"", "2", "3"})
+    for (const char *Host : {"standings", "registration", "splittimes"}) {
+      std::string Database = std::string(Host) + Suffix;
+      for (int Count = 0; Count < 2; ++Count)
+        startThread([=] { useSteadily(Database, 200); });
+    }
+  pauseMs(6000);
+  std::vector<const Machine *> All;
+  for (const Machine &Each : gMachines)
+    All.push_back(&Each);
+  double FinalFault = nowMs();
+  killMachines(All, false);
+  pauseMs(1000);
+  startMachines(All);
+  double Back = nowMs();
+  pauseMs(3000);
+  for (int Round = 1; nowMs() < Back + 30000; ++Round) {
+    for (size_t Service = 0; Trouble == "1" && Service < 3; ++Service) {
+      std::ostringstream Body;
+      Body << "{\"service\":\"" << gGroup.Services[Service]
+           << "\",\"address\":\"" << Replicas[Service] << ":"
+           << gPorts.Database
+           << "\",\"zone\":\"pumpworks\",\"version\":[\"v1\"],\"slots\":3,"
+              "\"state\":\"ready\",\"warmupLeftMs\":0,\"dbRole\":\"primary\""
+              ",\"born\":"
+           << std::chrono::duration_cast<Ms>(
+                  std::chrono::system_clock::now().time_since_epoch())
+                      .count() -
+                  Round * 1200
+           << ",\"seq\":" << Round << "}";
+      HttpReply Reply = httpCall(
+          randomControl(), gPorts.Control, "POST",
+          "/-/Instances.Heartbeat/i-x" + std::to_string(Service + 1),
+          Body.str(), 1000);
+      note("check-in of another writer %s: %d", Body.str().c_str(),
+           Reply.Status);
+    }
+    pauseMs(1200);
+  }
+  auto [ServedBefore, Before] = servedBetween(0, FinalFault);
+  auto [ServedAfter, After] = servedBetween(Back + 12000, nowMs() - 8000);
+  note("result: before the final fault %zu of %zu reads were served; of those "
+       "begun later than 12 s after the machines were back, %zu of %zu",
+       ServedBefore, Before, ServedAfter, After);
+  if (After < 20 || ServedBefore * 4 < Before)
+    throw CannotRun("too few operations to judge");
+  return ServedAfter * 4 >= After ? 0 : 1;
+}
+
+// Stops and starts the proxy of a machine while callers read at it in
+// transactions with pauses of up to 1 ms.
+static void stopOne(const Machine &Stopped, bool Stops,
+                    std::atomic<int> &Answered, std::atomic<int> &Cut) {
+  std::atomic<double> TermAt{0};
+  std::vector<std::thread> Callers;
+  for (int Number = 0; Number < 18; ++Number)
+    Callers.emplace_back([&, Number] {
+      Consumer Self;
+      Self.Host = "standings";
+      Self.Key = "key-of-races";
+      if (!Self.open(Stopped.Ip))
+        return;
+      while (TermAt == 0)
+        std::this_thread::sleep_for(Ms(1));
+      double Start = TermAt + 1800 + 15 * Number;
+      while (nowMs() < Start)
+        std::this_thread::sleep_for(Ms(1));
+      if (!Self.query(Self.newId(), "BEGIN READ").Error.empty())
+        return;
+      for (int Count = 1; Count <= 12; ++Count) {
+        // The pause between statements.
+        std::this_thread::sleep_for(
+            std::chrono::microseconds(Self.Random() % 1000));
+        std::string Id = Self.newId();
+        double Sent = nowMs();
+        Consumer::Answer Answer =
+            Self.query(Id, "READ slow" + std::to_string(Number));
+        double Took = nowMs() - Sent;
+        if (Answer.IsWhole) {
+          ++Answered;
+          note("caller %d, read %d (%s) sent %.0f ms after SIGTERM: %s after "
+               "%.0f ms",
+               Number, Count, Id.c_str(), Sent - TermAt,
+               Answer.Error.empty() ? "rows" : Answer.Error.c_str(), Took);
+          if (!Answer.Error.empty())
+            return;
+          continue;
+        }
+        bool HasArrived;
+        {
+          std::lock_guard Lock(gGroup.Mutex);
+          HasArrived = gGroup.Arrived.contains(Id);
+        }
+        // What was sent within 3 s, and was at work in the last sixth of
+        // graceS, isn't counted.
+        bool Counts = HasArrived && Sent - TermAt > 3000;
+        Cut += Counts ? 1 : 0;
+        note("%scaller %d, read %d (%s) sent %.0f ms after SIGTERM: the "
+             "connection ended without an answer after %.0f ms; an instance "
+             "%s",
+             Counts ? "LOST: " : "", Number, Count, Id.c_str(), Sent - TermAt,
+             Took, HasArrived ? "ran it" : "never got it");
+        return;
+      }
+      Self.query(Self.newId(), "COMMIT");
+    });
+  pauseMs(500);
+  if (Stops) {
+    std::lock_guard Lock(gChildrenMutex);
+    note("SIGTERM to the proxy on %s", Stopped.Name.c_str());
+    kill(gChildren.at("proxy " + Stopped.Name), SIGTERM);
+  }
+  TermAt = nowMs();
+  for (std::thread &Each : Callers)
+    Each.join();
+  if (!Stops)
+    return;
+  {
+    std::lock_guard Lock(gChildrenMutex);
+    pid_t Child = gChildren.at("proxy " + Stopped.Name);
+    int Waited = 0;
+    while (Waited++ < 300 && waitpid(Child, nullptr, WNOHANG) == 0)
+      std::this_thread::sleep_for(Ms(10));
+    gChildren.erase("proxy " + Stopped.Name);
+  }
+  startRole(Stopped, "proxy", false);
+}
+
+// The proxies of four machines are stopped and started in turn.
+static int runStop(const std::string &Trouble) {
+  gGroup.SyncReplicas = 0;
+  startFleet();
+  startDatabase();
+  pauseMs(1500);
+  putConfiguration(1);
+  awaitReady();
+  startWriters(4, 150);
+  pauseMs(4000);
+  requireServed(20);
+  std::atomic<int> Answered{0}, Cut{0};
+  for (size_t Index : {2, 3, 6, 7}) { // without a disk and without control
+    stopOne(gMachines[Index], Trouble == "1", Answered, Cut);
+    pauseMs(1500);
+  }
+  note("result: %d reads answered, %d that an instance had got were cut",
+       Answered.load(), Cut.load());
+  if (Answered < 48)
+    throw CannotRun("too few reads to judge");
+  return Cut == 0 ? 0 : 1;
+}
+
 struct Case {
   const char *Name;
   int (*Run)(const std::string &);
@@ -1653,7 +1854,9 @@
                               {"second-release", runSecondRelease},
                               {"start-during-release", runStartDuringRelease},
                               {"late-leave", runLateLeave},
-                              {"turned-seeds", runTurnedSeeds}};
+                              {"turned-seeds", runTurnedSeeds},
+                              {"foreign-check-in", runForeignCheckIn},
+                              {"stop", runStop}};
 
 int main(int Count, char **Arguments) {
   if (Count != 4) {
