--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -1,9 +1,9 @@
 // Stand-ins for the platform, the database instances, the operator and the
 // consumers, which start the project's own programs and run one case.
 //
-// Usage: fleet CASE FOLDER TROUBLE
+// Usage: fleet CASE RECORD TROUBLE
 //   CASE     name of a case (see kCases at the end)
-//   FOLDER   folder of the case; record.txt is written there
+//   RECORD   the file to write, record.txt in the folder of the case
 //   TROUBLE  1 with the disruption, 0 without it
 // Exit: 0 the rule held, 1 it was broken, 2 the case could not run.
 #include <arpa/inet.h>
@@ -1860,12 +1860,11 @@
 
 int main(int Count, char **Arguments) {
   if (Count != 4) {
-    std::fprintf(stderr, "usage: fleet CASE FOLDER TROUBLE\n");
+    std::fprintf(stderr, "usage: fleet CASE RECORD TROUBLE\n");
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
-  gRecord = std::fopen((std::string(Arguments[2]) + "/record.txt").c_str(),
-                       "w");
+  gRecord = std::fopen(Arguments[2], "w");
   std::string Temporary = fs::temp_directory_path() / "fleet-XXXXXX";
   if (!gRecord || !mkdtemp(Temporary.data())) {
     std::fprintf(stderr, "cannot write the record or a temporary folder\n");
