Refuse at a stop what cannot be finished before the process ends

Cause: three fixed fractions of the grace time said when sessions are closed, transactions end and the process ends, and no statement was compared with the end of the process. A session was closed only while it had no statement, so a caller that went on at once was never closed.

Ruled out: the pace alone (pauses of 1, 50 and 400 ms pass on the old code too, which is why no test saw it), and the owner as a place where a caller stays without an answer.

Change: ShutdownSchedule knows the end of service. A statement is accepted if its own deadline lies before it, whatever the pace of its caller; otherwise it is refused at once with "busy", or "aborted" inside a transaction, and was not sent. The same holds for BEGIN, for new sessions, and at owners for forwarded statements, which the entry host then tries elsewhere. Open transactions keep the first half of the grace time. What was accepted before the signal with a later deadline is answered at the end. Sessions are closed with the reply, so that a close does not cross the next statement.

--- a/src/decision/session/ServedSessionController.cpp
+++ b/src/decision/session/ServedSessionController.cpp
@@ -11,6 +11,8 @@
                                       Time Now) {
   ++m_StatementCount;
   m_Links.onRequestStarted(Link, Now);
+  if (refuseForShutdown(Link, Received, Now))
+    return;
   if (!Received.m_IsContinued)
     return start(Link, Received, Now);
   CallerSession *Session = findContinued(Link, Received, Now);
@@ -24,6 +26,21 @@
   m_Executor.submit(*Session, Now);
 }
 
+bool ServedSessionController::refuseForShutdown(
+    LinkId Link, const ForwardedStatement &Received, Time Now) {
+  Time Deadline = Now + std::chrono::milliseconds(Received.m_TimeLeftMs);
+  bool IsInTime = Received.m_IsContinued
+                      ? m_Shutdown.canContinueTransaction(Deadline, Now)
+                      : m_Shutdown.canFinish(Deadline);
+  if (IsInTime)
+    return false;
+  onEnded(Link, ForwardedSessionEnd{Received.m_Session}, Now);
+  refuse(Link, Received.m_Sequence,
+         Received.m_IsContinued ? SessionError::Aborted : SessionError::Busy,
+         "the host shuts down before the deadline of the statement", true);
+  return true;
+}
+
 CallerSession *ServedSessionController::findContinued(
     LinkId Link, const ForwardedStatement &Received, Time Now) {
   auto Known = m_Served.find(Key{Link, Received.m_Session});
@@ -123,13 +140,15 @@
 
 void ServedSessionController::refuse(LinkId Link, uint64_t Sequence,
                                      SessionError Error,
-                                     const std::string &Text) {
+                                     const std::string &Text,
+                                     bool IsUnreachable) {
   ++m_RefusedCount;
   m_Links.onRequestDone(Link);
   ForwardedStatementReply Reply;
   Reply.m_Sequence = Sequence;
   Reply.m_Error = static_cast<uint8_t>(Error);
   Reply.m_ErrorText = Text;
+  Reply.m_IsUnreachable = IsUnreachable;
   Reply.m_State = static_cast<uint8_t>(TransactionState::Failed);
   m_Actions.push_back(SendMessage{Link, std::move(Reply)});
 }
--- a/src/decision/session/ServedSessionController.h
+++ b/src/decision/session/ServedSessionController.h
@@ -3,6 +3,7 @@
 /// their group.
 #pragma once
 
+#include "decision/session/ShutdownSchedule.h"
 #include "decision/session/StatementExecutor.h"
 
 namespace almondpier {
@@ -13,10 +14,10 @@
 class ServedSessionController {
 public:
   ServedSessionController(SessionTable &Sessions, StatementExecutor &Executor,
-                          GroupOwners &Owners, LinkTable &Links,
-                          ProxyActions &Actions)
+                          GroupOwners &Owners, const ShutdownSchedule &Shutdown,
+                          LinkTable &Links, ProxyActions &Actions)
       : m_Sessions(Sessions), m_Executor(Executor), m_Owners(Owners),
-        m_Links(Links), m_Actions(Actions) {}
+        m_Shutdown(Shutdown), m_Links(Links), m_Actions(Actions) {}
 
   void receive(LinkId Link, const ForwardedStatement &Received, Time Now);
   /// The entry host no longer waits for the session.
@@ -39,7 +40,12 @@
   using Key = std::pair<LinkId, uint64_t>;
 
   void refuse(LinkId Link, uint64_t Sequence, SessionError Error,
-              const std::string &Text);
+              const std::string &Text, bool IsUnreachable = false);
+  /// Returns whether the statement was refused because this host ends before
+  /// its deadline. The entry host tries another owner, or its transaction is
+  /// rolled back.
+  bool refuseForShutdown(LinkId Link, const ForwardedStatement &Received,
+                         Time Now);
   /// Returns the session of a statement that continues a transaction, or null
   /// after a refusal.
   CallerSession *findContinued(LinkId Link, const ForwardedStatement &Received,
@@ -49,6 +55,7 @@
   SessionTable &m_Sessions;
   StatementExecutor &m_Executor;
   GroupOwners &m_Owners;
+  const ShutdownSchedule &m_Shutdown;
   LinkTable &m_Links;
   ProxyActions &m_Actions;
   /// By link and the identifier of the session on it.
--- a/src/decision/session/SessionController.cpp
+++ b/src/decision/session/SessionController.cpp
@@ -1,6 +1,7 @@
 #include "decision/session/SessionController.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondpier {
 
@@ -21,21 +22,9 @@
 /// extension it fits the largest message of an instance.
 constexpr size_t kMaxExtendedBytes = (1U << 20U) - 128;
 constexpr Duration kTimeoutCheckInterval = milliseconds(50);
-/// Fraction of the shutdown grace period in which new sessions are still
-/// accepted: the load balancer probes readiness every second and needs two
-/// failed probes to stop sending sessions.
-constexpr double kServeFraction = 0.37;
-/// Fraction of the shutdown grace period after which open transactions are
-/// rolled back.
-constexpr double kTransactionFraction = 0.5;
-/// Fraction of the shutdown grace period after which shutdown completes
-/// unconditionally; the remainder is for the exit of the process.
-constexpr double kExitFraction = 0.87;
-
-Duration fractionOf(Duration Total, double Fraction) {
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(Total.count()) * Fraction));
-}
+/// While the host shuts down, a session without a statement or reply for this
+/// time is closed. A caller that goes on at once is told with its next reply.
+constexpr Duration kIdleBeforeClose = milliseconds(100);
 
 /// Returns whether a new variable or prepared statement, which replaces
 /// Replaced bytes, fits into the session.
@@ -55,6 +44,10 @@
          Statement.m_Kind == StatementKind::Execute;
 }
 
+Duration timeoutOf(const CallerSession &Session) {
+  return milliseconds(Session.m_Policy.m_StatementTimeoutMs);
+}
+
 CallerRequestId tokenRequestOf(const CallerSession &Session) {
   return CallerRequestId{Session.m_Id.m_Value};
 }
@@ -91,7 +84,9 @@
     : m_Limits(Limits), m_Board(Board), m_Tokens(Tokens), m_Actions(Actions),
       m_Executor(Board, m_Sessions, Actions, Owners, Forwarder,
                  Limits.m_EvacuationGrace),
-      m_Served(m_Sessions, m_Executor, Owners, Links, LinkActions) {}
+      m_Shutdown(Limits.m_ShutdownGrace),
+      m_Served(m_Sessions, m_Executor, Owners, m_Shutdown, Links, LinkActions) {
+}
 
 bool SessionController::isFresh(Time Now) const {
   return m_Board.m_FreshAt &&
@@ -109,10 +104,9 @@
   Opened.m_LastActivityAt = Now;
   std::optional<SessionError> Refusal = admit(Opened, Now);
   bool IsFull = m_Sessions.size() >= m_Limits.m_MaxSessions;
-  bool IsClosing =
-      m_ShutdownAt && Now - *m_ShutdownAt >=
-                          fractionOf(m_Limits.m_ShutdownGrace, kServeFraction);
-  if (IsFull || IsClosing)
+  bool IsTooLate = m_Shutdown.isOutOfRotation(Now) ||
+                   (!Refusal && !m_Shutdown.canFinish(Now + timeoutOf(Opened)));
+  if (IsFull || IsTooLate)
     Refusal = SessionError::Busy;
   if (Refusal) {
     ++m_SessionsRefused;
@@ -278,6 +272,8 @@
     Session.m_Pending.reset();
     return replyError(Session, *Refusal, "not admitted", Now);
   }
+  if (!m_Shutdown.canFinish(Session.m_Pending->m_Deadline))
+    return refuseForShutdown(Session, Now);
   acquireToken(Session, Now);
 }
 
@@ -325,6 +321,12 @@
     abortTransaction(Session, Now);
     return replyError(Session, *Refusal, "not admitted", Now);
   }
+  Time Deadline = Session.m_Pending->m_Deadline;
+  bool IsInTime = IsAutocommit
+                      ? m_Shutdown.canFinish(Deadline)
+                      : m_Shutdown.canContinueTransaction(Deadline, Now);
+  if (!IsInTime)
+    return refuseForShutdown(Session, Now);
   Session.m_Pending->m_IsAutocommit = IsAutocommit;
   Session.m_Pending->m_Target =
       targetOf(Session, Session.m_Pending->m_Received.m_Statement);
@@ -335,11 +337,27 @@
   acquireToken(Session, Now);
 }
 
+void SessionController::refuseForShutdown(CallerSession &Session, Time Now) {
+  Statement Refused = std::move(Session.m_Pending->m_Received.m_Statement);
+  Session.m_Pending.reset();
+  ++m_ShutdownRefusals;
+  const std::string Reason =
+      "the host shuts down before the deadline of the statement";
+  if (Session.m_State == TransactionState::None)
+    return replyError(Session, SessionError::Busy, Reason, Now);
+  abortTransaction(Session, Now);
+  if (endsTransaction(Refused))
+    resetTransaction(Session);
+  if (Refused.m_Kind == StatementKind::Rollback)
+    return replyLocally(Session, Now);
+  replyError(Session, SessionError::Aborted, Reason, Now);
+}
+
 void SessionController::setPending(CallerSession &Session,
                                    ReceivedStatement Received, Time Now) {
   PendingStatement Started;
-  Started.m_Deadline = std::max(Received.m_ReceivedAt, Now) +
-                       milliseconds(Session.m_Policy.m_StatementTimeoutMs);
+  Started.m_Deadline =
+      std::max(Received.m_ReceivedAt, Now) + timeoutOf(Session);
   Started.m_Received = std::move(Received);
   Session.m_Pending = std::move(Started);
 }
@@ -466,6 +484,7 @@
        !Done.empty(); Done = m_Executor.takeCompleted())
     for (const StatementExecutor::CompletedStatement &Completed : Done)
       onCompleted(Completed, Now);
+  closeAnswered(Now);
 }
 
 // Replies.
@@ -500,6 +519,8 @@
   m_StatementsFailed += Reply.m_Error ? 1 : 0;
   Session.m_LastActivityAt = Now;
   emit(ReplyToStatement{Session.m_Id, std::move(Reply)});
+  if (m_Shutdown.hasBegun())
+    m_Answered.push_back(Session.m_Id);
 }
 
 void SessionController::logOutcome(const CallerSession &Session,
@@ -580,7 +601,7 @@
   std::vector<StatementExecutor::CompletedStatement> Abandoned;
   for (auto &[Id, Session] : m_Sessions) {
     if (Session.m_Pending && !Session.m_Pending->m_IsWaitingForToken &&
-        (Now >= Session.m_Pending->m_Deadline ||
+        (Now >= m_Shutdown.limit(Session.m_Pending->m_Deadline) ||
          StatementExecutor::hasWaitTimedOut(Session, Now)))
       Abandoned.push_back({Session.m_Id, m_Executor.abandon(Session, Now)});
     else if (!Session.m_Pending && Session.m_State == TransactionState::Open &&
@@ -592,7 +613,8 @@
 }
 
 void SessionController::tick(Time Now) {
-  if (Now - m_TimeoutsCheckedAt >= kTimeoutCheckInterval) {
+  if (Now - m_TimeoutsCheckedAt >= kTimeoutCheckInterval ||
+      m_Shutdown.isOver(Now)) {
     m_TimeoutsCheckedAt = Now;
     expireTimeouts(Now);
   }
@@ -600,41 +622,53 @@
   continueShutdown(Now);
 }
 
-void SessionController::beginShutdown(Time Now) {
-  if (!m_ShutdownAt)
-    m_ShutdownAt = Now;
+// Shutdown.
+
+bool SessionController::canEnd(const CallerSession &Session, Time Now) const {
+  if (Session.m_Pending || !Session.m_Queue.empty())
+    return false;
+  if (m_Shutdown.isOver(Now))
+    return true;
+  if (Session.m_State == TransactionState::None)
+    return Now - Session.m_LastActivityAt >= kIdleBeforeClose;
+  return !m_Shutdown.canContinueTransaction(Now + timeoutOf(Session), Now);
 }
 
 void SessionController::continueShutdown(Time Now) {
-  if (!m_ShutdownAt)
-    return;
-  Duration Elapsed = Now - *m_ShutdownAt;
-  if (Elapsed < fractionOf(m_Limits.m_ShutdownGrace, kServeFraction))
+  if (!m_Shutdown.isOutOfRotation(Now))
     return;
-  bool EndTransactions =
-      Elapsed >= fractionOf(m_Limits.m_ShutdownGrace, kTransactionFraction);
-  std::vector<SessionId> Idle;
+  std::vector<SessionId> Ending;
   for (const auto &[Id, Session] : m_Sessions)
-    if (!Session.m_Pending && Session.m_Queue.empty() &&
-        (Session.m_State == TransactionState::None || EndTransactions))
-      Idle.push_back(Session.m_Id);
-  for (SessionId Id : Idle) {
-    if (m_Sessions.at(Id.m_Value).m_Origin) {
+    if (canEnd(Session, Now))
+      Ending.push_back(Session.m_Id);
+  for (SessionId Id : Ending) {
+    if (m_Sessions.at(Id.m_Value).m_Origin)
       m_Served.end(Id, Now);
+    else
+      close(Id, Now);
+  }
+}
+
+void SessionController::closeAnswered(Time Now) {
+  for (SessionId Id : std::exchange(m_Answered, {})) {
+    auto Found = m_Sessions.find(Id.m_Value);
+    if (Found == m_Sessions.end() || !m_Shutdown.isOutOfRotation(Now))
       continue;
-    }
-    emit(CloseSession{Id});
-    end(Id, Now);
+    const CallerSession &Session = Found->second;
+    if (!Session.m_Pending && Session.m_Queue.empty() &&
+        Session.m_State == TransactionState::None)
+      close(Id, Now);
   }
 }
 
+void SessionController::close(SessionId Id, Time Now) {
+  emit(CloseSession{Id});
+  end(Id, Now);
+}
+
 bool SessionController::isShutdownComplete(Time Now) const {
-  if (!m_ShutdownAt)
-    return false;
-  Duration Elapsed = Now - *m_ShutdownAt;
-  return Elapsed >= fractionOf(m_Limits.m_ShutdownGrace, kExitFraction) ||
-         (m_Sessions.empty() && Elapsed >= fractionOf(m_Limits.m_ShutdownGrace,
-                                                      kTransactionFraction));
+  return m_Shutdown.isOver(Now) ||
+         (m_Sessions.empty() && m_Shutdown.isHalfOver(Now));
 }
 
 CounterList SessionController::counters() const {
@@ -652,7 +686,11 @@
                       static_cast<double>(m_StatementsFailed)},
                      {"almondpier_operations_rate_limited_total",
                       "Operations refused for the rate of their organisation",
-                      static_cast<double>(m_OperationsRateLimited)}};
+                      static_cast<double>(m_OperationsRateLimited)},
+                     {"almondpier_statements_refused_at_shutdown_total",
+                      "Statements refused because the host ends before their "
+                      "deadline",
+                      static_cast<double>(m_ShutdownRefusals)}};
   for (Counter &Counter : m_Executor.counters())
     Result.push_back(std::move(Counter));
   for (Counter &Counter : m_Served.counters())
--- a/src/decision/session/SessionController.h
+++ b/src/decision/session/SessionController.h
@@ -60,9 +60,10 @@
   void resumePending(Time Now);
   void tick(Time Now);
 
-  void beginShutdown(Time Now);
-  bool isShuttingDown() const { return m_ShutdownAt.has_value(); }
-  /// Returns whether all sessions have ended or the time for it has passed.
+  void beginShutdown(Time Now) { m_Shutdown.begin(Now); }
+  bool isShuttingDown() const { return m_Shutdown.hasBegun(); }
+  /// Returns whether all sessions have ended or the time for it has passed. All
+  /// accepted statements have been answered then.
   bool isShutdownComplete(Time Now) const;
   bool isFresh(Time Now) const;
   size_t sessionCount() const { return m_Sessions.size(); }
@@ -90,6 +91,9 @@
                     Time Now);
   void startDeallocate(CallerSession &Session, const Statement &Received,
                        Time Now);
+  /// Refuses the pending statement, which was not sent to an instance, and
+  /// rolls its transaction back.
+  void refuseForShutdown(CallerSession &Session, Time Now);
   void setPending(CallerSession &Session, ReceivedStatement Received, Time Now);
   void acquireToken(CallerSession &Session, Time Now);
   /// The statement obtained a rate token or needs none.
@@ -118,7 +122,13 @@
   void logOutcome(const CallerSession &Session, const StatementReply &Reply,
                   Time Now);
   void expireTimeouts(Time Now);
+  /// Returns whether the session is to be ended while the host shuts down.
+  bool canEnd(const CallerSession &Session, Time Now) const;
   void continueShutdown(Time Now);
+  /// Closes the sessions that were answered during a shutdown, together with
+  /// the reply: later, the caller's next statement may already be on its way.
+  void closeAnswered(Time Now);
+  void close(SessionId Id, Time Now);
 
   SessionLimits m_Limits;
   ProxyBlackboard &m_Board;
@@ -126,14 +136,17 @@
   SessionActions &m_Actions;
   SessionTable m_Sessions;
   StatementExecutor m_Executor;
+  ShutdownSchedule m_Shutdown;
   ServedSessionController m_Served;
-  std::optional<Time> m_ShutdownAt;
+  /// Sessions that were answered since the last event, during a shutdown.
+  std::vector<SessionId> m_Answered;
   Time m_TimeoutsCheckedAt;
   uint64_t m_SessionsOpened = 0;
   uint64_t m_SessionsRefused = 0;
   uint64_t m_StatementsAnswered = 0;
   uint64_t m_StatementsFailed = 0;
   uint64_t m_OperationsRateLimited = 0;
+  uint64_t m_ShutdownRefusals = 0;
 };
 
 } // namespace almondpier
--- a/tests/session/SessionHarness.h
+++ b/tests/session/SessionHarness.h
@@ -74,6 +74,7 @@
     RoutePolicy Route;
     Route.m_Database = kDatabase;
     Route.m_TargetLatencyMs = 400;
+    Route.m_StatementTimeoutMs = m_StatementTimeoutMs;
     Policy.m_Routes[RouteName{"primary"}] = Route;
     Route.m_MaxReadAgeMs = 1'500;
     Route.m_Guarantee = ReadGuarantee::BoundedAge;
@@ -221,6 +222,8 @@
   std::set<RouteName> m_RemovedRoutes;
   /// The routes of the next policy admit callers without a key.
   bool m_AllowsAnonymous = false;
+  /// Timeout of statements in the next policy.
+  uint32_t m_StatementTimeoutMs = 1'000;
   /// The control hosts are unreachable.
   bool m_IsControlDown = false;
   std::map<SessionId, std::vector<StatementReply>> m_Replies;
