Tell every host outside the core who its members are

Cause: members were known to members only, and to the seeds that the leader's settings named at the start of its process. Relays that start anew know none; a host with an empty disk asked only its seeds, and dropped what members sent to its former identifier over the link to its old address.

Ruled out: a leader that refuses the join (no request reaches it).

A proxy falls back to the seeds when no member answers (related path; its test fails without). The leader reports silent voters in its log and a metric, and a host that waits to join says so.

--- a/include/almondpier/ControlHost.h
+++ b/include/almondpier/ControlHost.h
@@ -80,6 +80,8 @@
   /// Transfers leadership, sends the outstanding replies and makes run()
   /// return.
   void shutDown();
+  /// Replaces ControlHostSettings::m_Join, after a change of the settings.
+  void setSeeds(std::vector<Endpoint> Seeds);
 
 private:
   struct State;
--- a/include/almondpier/SessionServer.h
+++ b/include/almondpier/SessionServer.h
@@ -99,6 +99,10 @@
 
   /// Completes the work in progress and then stops the loop.
   void shutDown() { dispatch(ShutdownRequested()); }
+  /// Replaces SessionServerSettings::m_Control, after a change of the settings.
+  void setControlSeeds(std::vector<Endpoint> Seeds) {
+    dispatch(ControlSeedsChanged{std::move(Seeds)});
+  }
 
 private:
   static constexpr std::chrono::milliseconds kTickInterval{5};
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -444,6 +444,11 @@
 
 const ControlCore &ControlHost::core() const { return m_State->m_Core; }
 
+void ControlHost::setSeeds(std::vector<Endpoint> Seeds) {
+  m_State->m_Settings.m_Join = Seeds;
+  m_State->post(SeedsChanged{std::move(Seeds)});
+}
+
 void ControlHost::shutDown() {
   m_State->m_IsShutdownRequested = true;
   m_State->post(ShutdownRequested{});
--- a/src/decision/control/ControlBlackboard.cpp
+++ b/src/decision/control/ControlBlackboard.cpp
@@ -14,12 +14,6 @@
   return nullptr;
 }
 
-bool ControlBlackboard::isVoterAt(const Endpoint &Peer) const {
-  return std::any_of(
-      m_Membership.m_Voters.begin(), m_Membership.m_Voters.end(),
-      [&](const ControlMember &Voter) { return Voter.m_Peer == Peer; });
-}
-
 bool ControlBlackboard::canExtendConfiguration() const {
   // The log holds such entries already.
   if (!configuration().extension().empty())
--- a/src/decision/control/ControlBlackboard.h
+++ b/src/decision/control/ControlBlackboard.h
@@ -83,7 +83,6 @@
   const Configuration &configuration() const { return m_State.configuration(); }
   /// Returns the member with this identifier, or null.
   const ControlMember *findMember(MemberId Id) const;
-  bool isVoterAt(const Endpoint &Peer) const;
   /// Whether every member can apply changes of the ConfigurationExtension. A
   /// control host of an earlier version stops at an entry that it cannot
   /// decode.
--- a/src/decision/control/ControlCore.cpp
+++ b/src/decision/control/ControlCore.cpp
@@ -7,7 +7,9 @@
 #include "decision/control/FailoverController.h"
 #include "decision/control/FeedController.h"
 #include "decision/control/LivenessController.h"
+#include "decision/control/MemberWatch.h"
 #include "decision/control/MembershipController.h"
+#include "decision/control/OutsideHosts.h"
 #include "decision/control/PeerLinks.h"
 #include "decision/control/PromotionController.h"
 #include "decision/control/RateLimitController.h"
@@ -27,6 +29,8 @@
 /// removed while it was away; several election timeouts.
 constexpr Duration kLeaderlessLimit = std::chrono::milliseconds(2'000);
 constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
+/// Interval of the log lines of a host that waits to become a member.
+constexpr Duration kJoinReportInterval = std::chrono::seconds(5);
 /// Longest time for a successor to take over before the process ends.
 constexpr Duration kShutdownLimit = std::chrono::seconds(3);
 
@@ -44,6 +48,8 @@
   RateLimitController m_Allocator;
   FailoverController m_Failover;
   MembershipController m_Membership;
+  MemberWatch m_MemberWatch;
+  OutsideHosts m_Outside;
   AnnouncementController m_Announcements;
   DirectoryController m_Directory;
   PromotionController m_Promotions;
@@ -55,7 +61,14 @@
   uint64_t m_Snapshots = 0;
   std::optional<Time> m_JoinedAt;
   std::optional<Time> m_AskedAt;
-  std::optional<Time> m_InformedSeedsAt;
+  std::optional<Time> m_InformedAt;
+  /// Members that other control hosts named to this host, which has no log yet,
+  /// and the term in which they did.
+  std::set<Endpoint> m_NamedMembers;
+  uint64_t m_NamedInTerm = 0;
+  std::optional<Time> m_AnsweredStrayAt;
+  Time m_JoiningSince;
+  Time m_JoinReportedAt;
   /// The leader's answer that no longer lists this founder.
   std::optional<MembersReply> m_Dismissal;
   /// Where each member's messages came from while this host is joining.
@@ -67,8 +80,10 @@
       : m_Options(Options), m_Relay(m_Board, m_Links), m_Feed(m_Board),
         m_Liveness(m_Board, Now), m_Allocator(m_Board), m_Failover(m_Board),
         m_Membership(m_Board, m_Changes, 2 * Options.m_LostDisksBorne + 1),
-        m_Announcements(m_Board), m_Directory(m_Board), m_Promotions(m_Board),
-        m_ClusterId(Options.m_ClusterId) {
+        m_MemberWatch(m_Board), m_Announcements(m_Board), m_Directory(m_Board),
+        m_Promotions(m_Board), m_ClusterId(Options.m_ClusterId),
+        m_JoiningSince(Now), m_JoinReportedAt(Now) {
+    m_Outside.setSeeds(Options.m_JoinPeers);
     m_Board.m_Self = Options.m_Self;
     m_Board.m_IsStorageAvailable = Options.m_IsStorageAvailable;
     if (m_ClusterId != 0)
@@ -97,7 +112,8 @@
   void handle(const ControlEvent &Event, Time Now, ControlActions &Actions) {
     if (!m_Options.m_IsStorageAvailable)
       return refuse(m_Board, Event, Actions);
-    m_Links.setPeers(wantedPeers(), Actions, Now);
+    m_Outside.onMembership(m_Board.m_Membership, Now);
+    m_Links.setPeers(wantedPeers(Now), Actions, Now);
     if (!m_Log) {
       handleWithoutLog(Event, Now, Actions);
       if (!m_Log)
@@ -129,10 +145,15 @@
     if (const ClockTick *Tick = std::get_if<ClockTick>(&Event)) {
       m_Board.m_WallTimeMs = Tick->m_WallTimeMs;
       m_Links.tick(Actions, Now);
-      if (isRelay())
+      if (isRelay()) {
         m_Relay.tick(Actions, Now);
-      else
+      } else {
         askToJoin(Actions, Now);
+        reportJoining(Actions, Now);
+      }
+    } else if (const SeedsChanged *Changed =
+                   std::get_if<SeedsChanged>(&Event)) {
+      setSeeds(*Changed, Actions);
     } else if (const LinkOpened *Opened = std::get_if<LinkOpened>(&Event)) {
       m_Links.onOpened(Opened->m_Link, Now);
     } else if (const LinkClosed *Closed = std::get_if<LinkClosed>(&Event)) {
@@ -157,11 +178,59 @@
       return echoPing(Event.m_Link, Actions);
     if (isRelay())
       return m_Relay.onMessage(Event.m_Link, Event.m_Message, Actions, Now);
+    if (const MembersReply *Named = std::get_if<MembersReply>(&Event.m_Message))
+      return learnMembers(*Named);
     const ConsensusMessage *Message =
         std::get_if<ConsensusMessage>(&Event.m_Message);
-    if (Message != nullptr && Message->m_To == m_Board.m_Self.m_Id &&
-        Message->m_ClusterId != 0)
+    if (Message == nullptr || Message->m_ClusterId == 0)
+      return;
+    if (Message->m_To == m_Board.m_Self.m_Id)
       adoptCluster(Message->m_ClusterId, Now, Actions);
+    else
+      answerStray(Event.m_Link, Now, Actions);
+  }
+
+  /// A member sent a message to the member that this host was before it lost
+  /// its disk. Its link may be the only one to a member.
+  void answerStray(LinkId Link, Time Now, ControlActions &Actions) {
+    bool IsDue =
+        !m_AnsweredStrayAt || Now - *m_AnsweredStrayAt >= kJoinInterval;
+    if (!m_Board.m_Self.m_IsDurable || !IsDue)
+      return;
+    m_AnsweredStrayAt = Now;
+    Actions.push_back(SendMessage{Link, JoinRequest{m_Board.m_Self}});
+  }
+
+  void learnMembers(const MembersReply &Named) {
+    // Members that are cut off answer with an earlier term.
+    if (Named.m_Voters.empty() || Named.m_Term < m_NamedInTerm)
+      return;
+    m_NamedInTerm = Named.m_Term;
+    m_NamedMembers.clear();
+    for (const ControlMember &Voter : Named.m_Voters)
+      m_NamedMembers.insert(Voter.m_Peer);
+  }
+
+  void setSeeds(const SeedsChanged &Changed, ControlActions &Actions) {
+    m_Options.m_JoinPeers = Changed.m_Seeds;
+    m_Outside.setSeeds(Changed.m_Seeds);
+    std::string Text = "seeds in force:";
+    for (const Endpoint &Seed : Changed.m_Seeds)
+      Text += " " + formatEndpoint(Seed);
+    Actions.push_back(ReportStateChange{std::move(Text)});
+  }
+
+  void reportJoining(ControlActions &Actions, Time Now) {
+    if (!m_Board.m_Self.m_IsDurable ||
+        Now - m_JoinReportedAt < kJoinReportInterval)
+      return;
+    m_JoinReportedAt = Now;
+    Actions.push_back(ReportStateChange{
+        "no member of the cluster yet after " +
+        std::to_string((Now - m_JoiningSince) / std::chrono::milliseconds(1)) +
+        " ms; " + std::to_string(m_NamedMembers.size()) +
+        " members are known, asks " + std::to_string(wantedPeers(Now).size()) +
+        " control hosts"});
   }
 
   static std::optional<OperationId> operationOf(const ControlEvent &Event) {
@@ -199,12 +268,18 @@
       return;
     m_JoinedAt = Now;
     m_Links.sendToAll(JoinRequest{m_Board.m_Self}, Actions);
+    // A relay that knows members but no leader cannot pass the request on.
+    m_Links.sendToAll(MembersRequest{}, Actions);
   }
 
   bool isJoining() const { return m_Board.m_Membership.m_Voters.empty(); }
 
-  std::set<Endpoint> wantedPeers() const {
+  std::set<Endpoint> wantedPeers(Time Now) const {
     std::set<Endpoint> Peers;
+    if (!m_Log)
+      Peers = m_NamedMembers;
+    if (knowsLeader())
+      Peers = m_Outside.silentHosts(Now);
     bool IsLeaderUnknown =
         isRelay() ? !m_Relay.isReady() : m_LeaderlessSince.has_value();
     if (isJoining() || IsLeaderUnknown || m_Board.m_IsLeader)
@@ -230,17 +305,22 @@
       askToJoin(Context.m_Actions, Context.m_Now);
   }
 
-  /// Seeds that only relay know no member after a start, and other hosts may
-  /// know nothing but them.
-  void informSeeds(ControlContext &Context) {
-    if (!m_Board.m_IsLeader ||
-        (m_InformedSeedsAt &&
-         Context.m_Now - *m_InformedSeedsAt < kJoinInterval))
+  bool knowsLeader() const {
+    return m_Log && !isJoining() &&
+           (m_Board.m_IsLeader ||
+            m_Board.findMember(m_Board.m_Leader) != nullptr);
+  }
+
+  /// Hosts that only relay know no member after a start, nor does a host with
+  /// an empty disk, and other hosts may know nothing but them.
+  void informOutsideHosts(ControlContext &Context) {
+    bool IsDue =
+        !m_InformedAt || Context.m_Now - *m_InformedAt >= kJoinInterval;
+    if (!knowsLeader() || !IsDue)
       return;
-    m_InformedSeedsAt = Context.m_Now;
-    for (const Endpoint &Seed : m_Options.m_JoinPeers)
-      if (!m_Board.isVoterAt(Seed))
-        m_Links.send(Seed, describeMembers(m_Board), Context.m_Actions);
+    m_InformedAt = Context.m_Now;
+    for (const Endpoint &Host : m_Outside.silentHosts(Context.m_Now))
+      m_Links.send(Host, describeMembers(m_Board), Context.m_Actions);
   }
 
   /// A founder without a disk asks whether it is still a member, because the
@@ -298,6 +378,9 @@
     if (m_Board.m_IsLeader)
       m_Promotions.onAnswered(Event, Context);
   }
+  void on(const SeedsChanged &Event, ControlContext &Context) {
+    setSeeds(Event, Context.m_Actions);
+  }
   void on(const DatagramReceived &Event, ControlContext &Context) {
     if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Event.m_Message))
       m_Liveness.onHeartbeat(*Beat, Context.m_Now);
@@ -345,6 +428,7 @@
     m_Directory.tick(Context);
     m_Promotions.tick(Context);
     m_Membership.tick(Context);
+    m_MemberWatch.tick(Context);
     watchLeader(Context.m_Now);
     bool IsLost = m_LeaderlessSince &&
                   Context.m_Now - *m_LeaderlessSince >= kLeaderlessLimit;
@@ -352,7 +436,7 @@
       askToJoin(Context.m_Actions, Context.m_Now);
     describeSelf(Context);
     askIfDismissed(Context);
-    informSeeds(Context);
+    informOutsideHosts(Context);
     continueShutdown(Context);
   }
 
@@ -423,7 +507,9 @@
   }
   void onMessage(LinkId /*Link*/, const JoinRequest &Message,
                  ControlContext &Context) {
-    if (m_Board.m_IsLeader)
+    if (ControlRelay::isRegistration(Message))
+      m_Outside.onRegistered(Message.m_Member.m_Peer, Context.m_Now);
+    else if (m_Board.m_IsLeader)
       m_Membership.onJoinRequest(Message, Context);
     else if (Message.m_Member.m_Id != m_Board.m_Self.m_Id)
       sendToLeader(Message, Context);
@@ -639,6 +725,12 @@
       {"almondpier_control_storage_failed",
        "1 while the data folder cannot be written.",
        Board.m_IsStorageAvailable ? 0.0 : 1.0},
+      {"almondpier_control_silent_members",
+       "Voters that sent nothing for 3 s, counted at the leader.",
+       static_cast<double>(m_State->m_MemberWatch.silentCount())},
+      {"almondpier_control_joining",
+       "1 while this host has a data folder and is no member yet.",
+       m_State->isJoining() && Board.m_Self.m_IsDurable ? 1.0 : 0.0},
       {"almondpier_control_live_hosts", "Proxies in the published list.",
        static_cast<double>(Board.m_LiveHosts.m_Hosts.size())},
       {"almondpier_control_polls_answered_total", "Polls answered.",
--- a/src/decision/control/ControlEvents.h
+++ b/src/decision/control/ControlEvents.h
@@ -97,6 +97,10 @@
   uint64_t m_Term = 0;
   bool m_IsPrimary = false;
 };
+/// The settings of this host name other control hosts to contact.
+struct SeedsChanged {
+  std::vector<Endpoint> m_Seeds;
+};
 /// Comes every 10 ms with the wall-clock time in milliseconds since 1970.
 struct ClockTick {
   uint64_t m_WallTimeMs = 0;
@@ -106,8 +110,8 @@
     std::variant<OperatorChange, OperatorRead, OperatorRemoveMember,
                  InstanceAnnounced, DatagramReceived, InstanceCallAnswered,
                  PolicySubmitted, ZoneEvacuationRequested, InstanceCheckedIn,
-                 GroupCallAnswered, ClockTick, LinkOpened, LinkClosed,
-                 MessageReceived, ShutdownRequested>;
+                 GroupCallAnswered, SeedsChanged, ClockTick, LinkOpened,
+                 LinkClosed, MessageReceived, ShutdownRequested>;
 
 // Actions.
 
--- a/src/decision/control/ControlRelay.cpp
+++ b/src/decision/control/ControlRelay.cpp
@@ -9,6 +9,8 @@
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
 /// Three questions without an answer that names a leader.
 constexpr Duration kLeaderMemory = std::chrono::milliseconds(1'500);
+/// Shorter than OutsideHosts::kSilence, with room for two lost messages.
+constexpr Duration kRegistrationInterval = std::chrono::milliseconds(1'000);
 
 } // namespace
 
@@ -21,8 +23,8 @@
                              ControlActions &Actions, Time Now) {
   if (const MembersReply *Reply = std::get_if<MembersReply>(&Received))
     return learn(*Reply, Actions, Now);
-  if (std::holds_alternative<JoinRequest>(Received))
-    return passOn(Received, Actions);
+  if (const JoinRequest *Joining = std::get_if<JoinRequest>(&Received))
+    return isRegistration(*Joining) ? void() : passOn(Received, Actions);
   bool IsQuestion = std::holds_alternative<PollRequest>(Received) ||
                     std::holds_alternative<MembersRequest>(Received);
   if (!IsQuestion || m_Board.m_Membership.m_Voters.empty())
@@ -49,6 +51,13 @@
     m_Board.m_Leader = {};
     Actions.push_back(ReportStateChange{"knows no leader any more"});
   }
+  if (!m_RegisteredAt || Now - *m_RegisteredAt >= kRegistrationInterval) {
+    m_RegisteredAt = Now;
+    // Members of earlier builds ignore a request without an identifier.
+    JoinRequest Registration{m_Board.m_Self};
+    Registration.m_Member.m_Id = {};
+    m_Links.sendToAll(Registration, Actions);
+  }
   if (m_AskedAt && Now - *m_AskedAt < kAskInterval)
     return;
   m_AskedAt = Now;
--- a/src/decision/proxy/ConfigurationController.cpp
+++ b/src/decision/proxy/ConfigurationController.cpp
@@ -24,7 +24,7 @@
                                                  ProxyActions &Actions)
     : m_Host(Options.m_Host), m_Incarnation(Options.m_Incarnation),
       m_Board(Board), m_Links(Links), m_Actions(Actions),
-      m_Peers(Options.m_ControlPeers),
+      m_Peers(Options.m_ControlPeers), m_Seeds(Options.m_ControlPeers),
       m_WantsLiveHosts(Options.m_RoutesByLiveHosts) {
   // Proxies start at different control hosts to spread the load.
   if (!m_Peers.empty())
@@ -82,6 +82,8 @@
 
 void ConfigurationController::pollNextPeer(Time Now) {
   m_Links.release(currentPeer(), LinkUse::Poll);
+  if (++m_UnansweredPeers >= m_Peers.size())
+    addSeeds();
   m_CurrentPeer = (m_CurrentPeer + 1) % m_Peers.size();
   startPollingCurrentPeer(Now);
 }
@@ -122,6 +124,7 @@
   if (Found == m_OutstandingPolls.end())
     return;
   Poll Answered = *Found;
+  m_UnansweredPeers = 0;
   updateMembers(Reply);
   updateLiveHosts(Reply);
   bool IsOffer = Reply.m_SnapshotBytes > 0 && Reply.m_Snapshot.empty();
@@ -191,6 +194,7 @@
   if (m_PolledLink != Link || Reply.m_Voters.empty())
     return;
   m_Links.release(currentPeer(), LinkUse::Poll);
+  m_UnansweredPeers = 0;
   m_Members = Reply.m_Voters;
   m_Peers.clear();
   for (const ControlMember &Member : m_Members)
@@ -284,10 +288,12 @@
 }
 
 void ConfigurationController::updateMembers(const PollReply &Reply) {
-  if (!Reply.m_ControlMembers.empty()) {
+  if (!Reply.m_ControlMembers.empty())
     m_Members = Reply.m_ControlMembers;
+  // Also drops the seeds that were added while no member answered.
+  bool IsOtherSize = m_Peers.size() != m_Members.size();
+  if (!Reply.m_ControlMembers.empty() || (!m_Members.empty() && IsOtherSize))
     updatePeers();
-  }
   m_Leader.reset();
   for (const ControlMember &Member : m_Members)
     if (Member.m_Host == Reply.m_Leader && !Reply.m_Leader.empty())
@@ -307,6 +313,13 @@
   m_Peers = std::move(Peers);
 }
 
+void ConfigurationController::addSeeds() {
+  m_UnansweredPeers = 0;
+  for (const Endpoint &Seed : m_Seeds)
+    if (std::find(m_Peers.begin(), m_Peers.end(), Seed) == m_Peers.end())
+      m_Peers.push_back(Seed);
+}
+
 void ConfigurationController::preferOwnZone(Time Now) {
   auto IsInOwnZone = [&](const ControlMember &Member) {
     return Member.m_Zone == m_Host.m_Zone;
--- a/src/decision/proxy/ConfigurationController.h
+++ b/src/decision/proxy/ConfigurationController.h
@@ -31,6 +31,8 @@
                            Time Now);
   /// Switches to the members named by a polled host that is not one of them.
   void onMembersReply(LinkId Link, const MembersReply &Reply, Time Now);
+  /// The settings of this host name other control hosts.
+  void setSeeds(const std::vector<Endpoint> &Seeds) { m_Seeds = Seeds; }
   /// Returns whether the configuration or the live hosts changed since the
   /// last call.
   bool takeChanged();
@@ -62,6 +64,10 @@
   void startPollingCurrentPeer(Time Now);
   void updateMembers(const PollReply &Reply);
   void updatePeers();
+  /// Adds the seeds to the hosts that are polled. When every member was
+  /// replaced while this host was cut off, only the seeds can tell the new
+  /// ones.
+  void addSeeds();
   /// Polls a control host of the own zone, when there is one.
   void preferOwnZone(Time Now);
   void updateLiveHosts(const PollReply &Reply);
@@ -77,6 +83,10 @@
   LinkTable &m_Links;
   ProxyActions &m_Actions;
   std::vector<Endpoint> m_Peers;
+  /// Control hosts named by the settings.
+  std::vector<Endpoint> m_Seeds;
+  /// Number of hosts that were polled in turn without an answer.
+  size_t m_UnansweredPeers = 0;
   bool m_WantsLiveHosts;
   std::optional<Time> m_OwnZoneTriedAt;
   /// Members as the last reply listed them.
--- a/src/decision/session/SessionCore.cpp
+++ b/src/decision/session/SessionCore.cpp
@@ -87,6 +87,9 @@
   void operator()(const LinkClosed &Event, Time Now) {
     m_Links.onClosed(Event.m_Link, Now);
   }
+  void operator()(const ControlSeedsChanged &Event, Time /*Now*/) {
+    m_Configuration.setSeeds(Event.m_Seeds);
+  }
   void operator()(const ShutdownRequested & /*Event*/, Time Now) {
     m_Sessions.beginShutdown(Now);
     m_Sessions.served().setAvailability(false);
--- a/src/decision/session/SessionEvents.h
+++ b/src/decision/session/SessionEvents.h
@@ -150,12 +150,16 @@
   ConnectionId m_Connection;
   ReplyDefect m_Defect = ReplyDefect::InvalidLine;
 };
+/// The settings of this host name other control hosts to contact.
+struct ControlSeedsChanged {
+  std::vector<Endpoint> m_Seeds;
+};
 
 using SessionEvent =
     std::variant<SessionOpened, StatementReceived, SessionEnded,
                  InstanceConnected, InstanceRefused, InstanceReplied,
                  InstanceReplyInvalid, ConnectionClosed, LinkOpened, LinkClosed,
-                 MessageReceived, Tick, ShutdownRequested>;
+                 MessageReceived, ControlSeedsChanged, Tick, ShutdownRequested>;
 
 // Actions.
 
--- a/tests/control/FoundingTest.cpp
+++ b/tests/control/FoundingTest.cpp
@@ -25,28 +25,6 @@
     Sim.start(Index);
 }
 
-/// Whether one leader is known to all and its voters are exactly the hosts with
-/// a disk.
-bool isFormed(const Simulation &Sim) {
-  std::optional<size_t> Leader = Sim.leader();
-  if (!Leader)
-    return false;
-  std::set<MemberId> Wanted;
-  for (size_t Index = 0; Index < Sim.m_Controls.size(); ++Index) {
-    const SimulatedControl &Control = Sim.m_Controls[Index];
-    if (!Control.m_Core || !Control.m_Core->isReady())
-      return false;
-    if (Control.m_Member.m_IsDurable)
-      Wanted.insert(Control.m_Member.m_Id);
-  }
-  std::set<MemberId> Voters;
-  for (const ControlMember &Voter : Sim.board(*Leader).m_Membership.m_Voters)
-    if (Voter.m_IsDurable)
-      Voters.insert(Voter.m_Id);
-  return Voters == Wanted &&
-         Sim.board(*Leader).m_Membership.m_Voters.size() == Wanted.size();
-}
-
 } // namespace
 
 TEST_CASE("founding: hosts with a disk take over from founders without one") {
@@ -65,7 +43,8 @@
     CAPTURE(HasDisk.size());
     Simulation Sim = Simulation::withSeeds(HasDisk);
     startAll(Sim);
-    CHECK(Sim.runUntil([&] { return isFormed(Sim); }, std::chrono::seconds(8)));
+    CHECK(
+        Sim.runUntil([&] { return Sim.isFormed(); }, std::chrono::seconds(8)));
   }
 }
 
@@ -92,7 +71,7 @@
   for (size_t Index = 3; Index < 7; ++Index)
     Sim.stop(Index);
   startAll(Sim);
-  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  REQUIRE(Sim.runUntil([&] { return Sim.isFormed(); }));
   CHECK(Sim.configuration().policy().m_Version == 7);
 }
 
@@ -101,7 +80,7 @@
   Simulation Sim =
       Simulation::withSeeds({false, false, false, true, true, true, true});
   startAll(Sim);
-  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  REQUIRE(Sim.runUntil([&] { return Sim.isFormed(); }));
   for (size_t Index = 0; Index < 3; ++Index)
     Sim.stopAndWipe(Index);
   for (size_t Index = 0; Index < 3; ++Index)
@@ -110,7 +89,7 @@
   for (size_t Index = 0; Index < 3; ++Index)
     CHECK(!Sim.board(Index).m_IsLeader);
   // The seeds know no member after the start; the leader informs them.
-  CHECK(isFormed(Sim));
+  CHECK(Sim.isFormed());
   CHECK(Sim.board(*Sim.leader()).m_Membership.m_Voters.size() == 4);
 }
 
@@ -118,7 +97,7 @@
           "reads") {
   Simulation Sim = Simulation::withSeeds({true, true, true, false, false});
   startAll(Sim);
-  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  REQUIRE(Sim.runUntil([&] { return Sim.isFormed(); }));
   OperationId Install = installVersion(Sim, 3, 5);
   std::optional<ReplyToOperation> Reply = Sim.reply(3, Install);
   REQUIRE(Reply);
@@ -145,7 +124,7 @@
   // although requests are still sent to it.
   Simulation Sim = Simulation::withSeeds({true, true, true, false});
   startAll(Sim);
-  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  REQUIRE(Sim.runUntil([&] { return Sim.isFormed(); }));
   for (size_t Index = 0; Index < 3; ++Index)
     Sim.m_Controls[Index].m_IsIsolated = true;
   Sim.run(std::chrono::seconds(3));
@@ -164,7 +143,7 @@
   Simulation Sim =
       Simulation::withSeeds({false, false, false, true, true, true});
   startAll(Sim);
-  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  REQUIRE(Sim.runUntil([&] { return Sim.isFormed(); }));
   for (size_t Index = 3; Index < 6; ++Index)
     Sim.m_Controls[Index].m_IsIsolated = true;
   Sim.run(std::chrono::seconds(6));
@@ -186,7 +165,7 @@
            Sim.board(*Sim.leader()).isDurable();
   }));
   Sim.start(6);
-  CHECK(Sim.runUntil([&] { return isFormed(Sim); }));
+  CHECK(Sim.runUntil([&] { return Sim.isFormed(); }));
 }
 
 TEST_CASE("membership: as many copies stay as the loss of two disks takes") {
@@ -195,7 +174,7 @@
   Simulation Sim = Simulation::withSeeds({true, true, true, true, true});
   Sim.m_ToleratedDiskLosses = 2;
   startAll(Sim);
-  REQUIRE(Sim.runUntil([&] { return isFormed(Sim); }));
+  REQUIRE(Sim.runUntil([&] { return Sim.isFormed(); }));
   size_t First = (*Sim.leader() + 1) % 5;
   size_t Second = (*Sim.leader() + 2) % 5;
   Sim.m_Controls[First].m_IsIsolated = true;
--- a/tests/control/Simulation.h
+++ b/tests/control/Simulation.h
@@ -42,6 +42,7 @@
   /// Messages sent to proxies.
   std::vector<Message> m_SentToProxies;
   bool m_IsShutDown = false;
+  std::vector<std::string> m_StateChanges;
 };
 
 class Simulation {
@@ -88,12 +89,19 @@
     Options.m_ClusterId = Control.m_ClusterId;
     Options.m_Log = Control.m_Disk;
     Options.m_Seed = ++m_Seed;
-    for (size_t Seed = 0; Seed < m_SeedCount; ++Seed)
-      Options.m_JoinPeers.push_back(m_Controls[Seed].m_Member.m_Peer);
+    Options.m_JoinPeers = seedsOf(Index);
     Options.m_LostDisksBorne = m_ToleratedDiskLosses;
     Control.m_Core = std::make_unique<ControlCore>(Options, m_Now);
   }
 
+  /// Changes the seeds in the settings of a host. A running process reads them
+  /// only if IsRead.
+  void setSeeds(size_t Index, const std::vector<size_t> &Seeds, bool IsRead) {
+    m_SeedIndices[Index] = Seeds;
+    if (IsRead)
+      handle(Index, SeedsChanged{seedsOf(Index)});
+  }
+
   /// Stops a host and erases its disk. On its next start it joins the cluster
   /// as a new member.
   void stopAndWipe(size_t Index) {
@@ -205,6 +213,27 @@
     });
   }
 
+  /// Whether one leader is known to all and its voters are exactly the hosts
+  /// with a disk.
+  bool isFormed() const {
+    std::optional<size_t> Leader = leader();
+    if (!Leader)
+      return false;
+    std::set<MemberId> Wanted;
+    for (const SimulatedControl &Control : m_Controls) {
+      if (!Control.m_Core || !Control.m_Core->isReady())
+        return false;
+      if (Control.m_Member.m_IsDurable)
+        Wanted.insert(Control.m_Member.m_Id);
+    }
+    std::set<MemberId> Voters;
+    for (const ControlMember &Voter : board(*Leader).m_Membership.m_Voters)
+      if (Voter.m_IsDurable)
+        Voters.insert(Voter.m_Id);
+    return Voters == Wanted &&
+           board(*Leader).m_Membership.m_Voters.size() == Wanted.size();
+  }
+
   // Operators.
 
   OperationId submit(size_t Index, const Change &Change) {
@@ -375,6 +404,19 @@
   std::map<uint64_t, std::set<InstanceName>> m_PromotedByTerm;
 
 private:
+  std::vector<Endpoint> seedsOf(size_t Index) const {
+    std::vector<Endpoint> Seeds;
+    auto Changed = m_SeedIndices.find(Index);
+    if (Changed == m_SeedIndices.end()) {
+      for (size_t Seed = 0; Seed < m_SeedCount; ++Seed)
+        Seeds.push_back(m_Controls[Seed].m_Member.m_Peer);
+      return Seeds;
+    }
+    for (size_t Seed : Changed->second)
+      Seeds.push_back(m_Controls[Seed].m_Member.m_Peer);
+    return Seeds;
+  }
+
   Simulation(size_t Founders, size_t Joining) {
     for (size_t Index = 0; Index < Founders + Joining; ++Index)
       addControl(HostName{"c" + std::to_string(Index)});
@@ -556,7 +598,9 @@
                                        Status.m_Role == StandInRole::Primary};
     return Answer;
   }
-  static void execute(size_t /*Index*/, const ReportStateChange & /*Action*/) {}
+  void execute(size_t Index, const ReportStateChange &Action) {
+    m_Controls[Index].m_StateChanges.push_back(Action.m_Text);
+  }
   void execute(size_t Index, const ShutdownComplete & /*Action*/) {
     m_Controls[Index].m_IsShutDown = true;
   }
@@ -569,6 +613,8 @@
   uint16_t m_InstanceCount = 0;
   std::multimap<Time, std::function<void()>> m_ScheduledActions;
   std::map<LinkEnd, LinkEnd> m_Links;
+  /// Seeds of the hosts whose settings were changed.
+  std::map<size_t, std::vector<size_t>> m_SeedIndices;
 };
 
 } // namespace almondpier::controltest
--- a/tests/proxy/ConfigurationPartsTest.cpp
+++ b/tests/proxy/ConfigurationPartsTest.cpp
@@ -65,7 +65,23 @@
     takeActions();
   }
 
+  /// The polled host names other hosts as the members.
+  void nameMembers(const std::vector<Endpoint> &Peers) {
+    REQUIRE(!takeSent<PollRequest>().empty());
+    MembersReply Reply;
+    for (const Endpoint &Peer : Peers)
+      Reply.m_Voters.push_back(ControlMember{
+          MemberId{Peer.m_Port}, HostName{"c"}, {"z2"}, Peer, {}});
+    m_Controller.onMembersReply(m_Link, Reply, m_Now);
+    takeActions();
+  }
+  void setSeeds(const std::vector<Endpoint> &Seeds) {
+    m_Controller.setSeeds(Seeds);
+  }
+
   Time m_Now{std::chrono::hours(1)};
+  /// Hosts to which links were opened.
+  std::set<Endpoint> m_OpenedPeers;
   ProxyBlackboard m_Board;
   Configuration m_Configuration;
   std::string m_Encoded;
@@ -81,8 +97,10 @@
   }
   void takeActions() {
     for (const ProxyAction &Action : std::exchange(m_Actions, {})) {
-      if (const OpenLink *Open = std::get_if<OpenLink>(&Action))
+      if (const OpenLink *Open = std::get_if<OpenLink>(&Action)) {
+        m_OpenedPeers.insert(Open->m_Peer);
         m_Links.onOpened(Open->m_Link, m_Now);
+      }
       if (const SendMessage *Send = std::get_if<SendMessage>(&Action))
         m_Sent.push_back(*Send);
     }
@@ -176,3 +194,20 @@
   Proxy.sendPart(kIndex, 0, Proxy.m_Encoded);
   CHECK(Proxy.m_Board.m_Configuration == Proxy.m_Configuration);
 }
+
+// A proxy that was cut off while every member was replaced polled the former
+// members for good.
+TEST_CASE("configuration: a proxy asks the seeds of its settings again when no "
+          "member answers") {
+  PolledProxy Proxy;
+  Proxy.nameMembers({{"127.0.0.1", 8'000}, {"127.0.0.1", 8'001}});
+  Proxy.m_OpenedPeers.clear();
+  Proxy.setSeeds({{"127.0.0.1", 7'005}});
+  Proxy.run(std::chrono::seconds(5));
+  CHECK(Proxy.m_OpenedPeers.contains({"127.0.0.1", 7'005}));
+  // The members that a seed names take its place.
+  Proxy.takeSent<PollRequest>();
+  Proxy.run(std::chrono::seconds(2));
+  Proxy.nameMembers({{"127.0.0.1", 8'002}});
+  CHECK(Proxy.m_OpenedPeers.contains({"127.0.0.1", 8'002}));
+}
