Demote the primary, and seal every replica, before a synchronous group moves

Cause: the set of replicas was copied once, when the attempt began, and held ready replicas only.

Change: in such a group a primary that drains is demoted first, so that nobody acknowledges any more, and a replica that holds its last position is promoted. Where it cannot be reached all replicas are sealed and counted, draining ones too; the set is read anew before each pass, and a replica that appears after the order is sealed at once.

--- a/src/decision/control/ControlEvents.h
+++ b/src/decision/control/ControlEvents.h
@@ -96,6 +96,8 @@
   Position m_Received;
   uint64_t m_Term = 0;
   bool m_IsPrimary = false;
+  /// Term of the seal that the instance holds; 0 without one.
+  uint64_t m_HeldTerm = 0;
 };
 /// The settings of this host name other control hosts to contact.
 struct SeedsChanged {
@@ -159,6 +161,8 @@
   /// Stops a replica from receiving, so that the primary gets no further
   /// acknowledgement through it.
   SealReplica,
+  /// Ends a seal, so that the replica receives again.
+  ResumeReplica,
   Promote
 };
 struct CallGroup {
--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -49,6 +49,14 @@
 constexpr uint64_t kFencingTokensPerTerm = 1'000'000;
 /// Replicas are sealed for a term above any that the group has reached.
 constexpr uint64_t kSealTermIncrement = 1;
+/// Passes in which the replicas are sealed before an attempt is put off.
+constexpr size_t kMaxSealPasses = 6;
+/// How long replicas stay sealed after an attempt: longer than the delay of the
+/// next one, so that they are not resumed in between.
+constexpr Duration kSealMemory = milliseconds(1'000);
+/// An order without an answer may still be carried out within this time.
+constexpr Duration kLateOrderTime = milliseconds(10'000);
+constexpr Duration kResumeInterval = milliseconds(300);
 
 } // namespace
 
@@ -61,11 +69,15 @@
 void PromotionController::endAttempt(Group &Group, Duration Delay, Time Now) {
   enterStep(Group, Step::Monitor, Now);
   Group.m_NextAttemptAt = Now + Delay;
+  Group.m_ResumeAt = std::max(Now + kSealMemory, Group.m_OrderPendingUntil);
   Group.m_Candidates.clear();
   Group.m_Chosen.reset();
   Group.m_Leaving.reset();
   Group.m_LastPosition.reset();
   Group.m_DemotionCalls = 0;
+  Group.m_SealTerm = 0;
+  Group.m_SealPasses = 0;
+  Group.m_SealedPositions.clear();
 }
 
 bool PromotionController::isUsable(const InstanceDescription &Instance) const {
@@ -115,21 +127,33 @@
 void PromotionController::supervise(const DatabaseName &Name,
                                     const Members &Members,
                                     ControlContext &Context) {
-  Group &Group = m_Groups[Name];
+  auto [Entry, IsNew] = m_Groups.try_emplace(Name);
+  Group &Group = Entry->second;
+  if (IsNew && syncReplicasOf(Name) > 0) {
+    // An earlier leader may have left replicas sealed.
+    for (const InstanceDescription *Member : Members)
+      if (!Member->m_IsPrimary)
+        Group.m_Sealed[Member->m_Name] = *Member;
+    Group.m_ResumeAt = Context.m_Now + kLateOrderTime;
+  }
   switch (Group.m_Step) {
   case Step::Monitor:
     if (std::optional<std::string> Reason =
             promotionReason(Group, Name, Members, Context))
       startAttempt(Group, Name, Members, *Reason, Context);
+    else
+      resumeReplicas(Group, Name, Members, Context);
     return;
   case Step::ReadPositions:
-    return chooseCandidate(Group, Name, Context);
+    return chooseCandidate(Group, Name, Members, Context);
   case Step::Demote:
-  case Step::Promote:
     return;
+  case Step::Promote:
+    return sealLateReplicas(Group, Name, Members, Context);
   case Step::CatchUp:
-    return awaitCatchUp(Group, Name, Context);
+    return awaitCatchUp(Group, Name, Members, Context);
   case Step::AwaitRole:
+    sealLateReplicas(Group, Name, Members, Context);
     return awaitRole(Group, Name, Members, Context);
   }
 }
@@ -230,14 +254,22 @@
     Group.m_NoPrimarySince.reset();
   else if (!Group.m_NoPrimarySince)
     Group.m_NoPrimarySince = Now;
+  Group.m_Primary.reset();
+  if (Primary != nullptr)
+    Group.m_Primary = *Primary;
   if (!HasReplica || Now < Group.m_NextAttemptAt)
     return std::nullopt;
   if (Primary == nullptr)
     return Now - *Group.m_NoPrimarySince >= kNoPrimaryTimeout
                ? std::optional<std::string>("no instance is primary")
                : std::nullopt;
-  if (Primary->m_State == InstanceState::Draining)
+  if (Primary->m_State == InstanceState::Draining) {
+    // It goes on acknowledging commits through any replica that it reaches,
+    // also one that starts meanwhile.
+    if (syncReplicasOf(Name) > 0)
+      Group.m_Leaving = *Primary;
     return "primary " + Primary->m_Name.m_Value + " is draining";
+  }
   checkPrimary(Group, Name, *Primary, Context);
   if (isUnreachable(Group, Name, *Primary, Now))
     return "primary " + Primary->m_Name.m_Value + " is unreachable";
@@ -257,9 +289,7 @@
     return Context.m_Now >= Entry.second;
   });
   Group.m_Candidates.clear();
-  for (const InstanceDescription *Member : Members)
-    if (!Member->m_IsPrimary && Member->m_State == InstanceState::Ready)
-      Group.m_Candidates[Member->m_Name] = Candidate{*Member, {}, 0, false};
+  addReplicas(Group, Name, Members);
   Group.m_Reason = Reason;
   Group.m_StartedAt = Context.m_Now;
   ++m_Started;
@@ -275,7 +305,7 @@
                                           CallGroup Action,
                                           ControlContext &Context) {
   GroupCallId Id{++m_LastCallId};
-  m_PendingCalls[Id] = Call{Name, Instance.m_Name, Kind};
+  m_PendingCalls[Id] = Call{Name, Instance.m_Name, Kind, m_Groups[Name].m_Pass};
   Action.m_Call = Id;
   Action.m_Kind = Kind;
   Action.m_Instance = Instance;
@@ -283,23 +313,71 @@
   return Id;
 }
 
+bool PromotionController::needsSeal(const Group &Group,
+                                    const DatabaseName &Name) const {
+  // A demoted primary acknowledges nothing. Before its demotion the positions
+  // only tell whether a replica can be promoted.
+  return syncReplicasOf(Name) > 0 && !Group.m_Leaving;
+}
+
+bool PromotionController::addReplicas(Group &Group, const DatabaseName &Name,
+                                      const Members &Members) {
+  bool HasAdded = false;
+  bool IsSynchronous = syncReplicasOf(Name) > 0;
+  for (const InstanceDescription *Member : Members) {
+    // A draining replica still receives, and commits are acknowledged through
+    // it.
+    bool IsDemoted = Group.m_Demoted &&
+                     Group.m_Demoted->m_Name == Member->m_Name &&
+                     Group.m_Demoted->m_StartedAtMs == Member->m_StartedAtMs;
+    bool IsCounted = !Member->m_IsPrimary && !IsDemoted &&
+                     (IsSynchronous || Member->m_State == InstanceState::Ready);
+    auto Known = Group.m_Candidates.find(Member->m_Name);
+    if (Known != Group.m_Candidates.end())
+      Known->second.m_Instance.m_State = Member->m_State;
+    bool IsKnown =
+        Known != Group.m_Candidates.end() &&
+        Known->second.m_Instance.m_StartedAtMs == Member->m_StartedAtMs;
+    if (!IsCounted || IsKnown)
+      continue;
+    Group.m_Candidates[Member->m_Name] = Candidate{*Member};
+    Group.m_SealedPositions.erase(Member->m_Name);
+    HasAdded = true;
+  }
+  return HasAdded;
+}
+
+void PromotionController::sealReplica(Group &Group, const DatabaseName &Name,
+                                      Candidate &Sealed,
+                                      ControlContext &Context) {
+  CallGroup Action;
+  Action.m_TimeoutMs = kPositionCallTimeoutMs;
+  Action.m_SealTerm = Group.m_SealTerm;
+  Group.m_Sealed[Sealed.m_Instance.m_Name] = Sealed.m_Instance;
+  ++m_SealedCount;
+  sendCall(Name, GroupCallKind::SealReplica, Sealed.m_Instance, Action,
+           Context);
+}
+
 void PromotionController::readPositions(Group &Group, const DatabaseName &Name,
                                         ControlContext &Context) {
-  // With synchronous replication, a primary cannot acknowledge writes once its
-  // replicas are sealed. The first pass reads the positions to learn the term
-  // to seal at. A demoted primary acknowledges nothing in any case.
-  Group.m_IsSealing =
-      !Group.m_Leaving && syncReplicasOf(Name) > 0 && Group.m_HighestTerm > 0;
+  // The first pass reads the positions to learn the term to seal at.
+  bool IsSealing = needsSeal(Group, Name) && Group.m_HighestTerm > 0;
+  Group.m_SealTerm = IsSealing ? Group.m_HighestTerm + kSealTermIncrement : 0;
+  Group.m_SealPasses += IsSealing ? 1 : 0;
+  ++Group.m_Pass;
   for (auto &[Member, Candidate] : Group.m_Candidates) {
-    CallGroup Action;
-    Action.m_TimeoutMs = kPositionCallTimeoutMs;
-    Action.m_SealTerm = Group.m_HighestTerm + kSealTermIncrement;
     Candidate.m_IsPending = true;
+    Candidate.m_IsSealed = false;
     Candidate.m_ReceivedPosition.reset();
-    sendCall(Name,
-             Group.m_IsSealing ? GroupCallKind::SealReplica
-                               : GroupCallKind::ReadPosition,
-             Candidate.m_Instance, Action, Context);
+    if (IsSealing) {
+      sealReplica(Group, Name, Candidate, Context);
+      continue;
+    }
+    CallGroup Action;
+    Action.m_TimeoutMs = kPositionCallTimeoutMs;
+    sendCall(Name, GroupCallKind::ReadPosition, Candidate.m_Instance, Action,
+             Context);
   }
 }
 
@@ -317,61 +395,84 @@
   return Best;
 }
 
+bool PromotionController::hasAllCommits(const Group &Group,
+                                        const Candidate *Candidate) {
+  return Group.m_LastPosition && Candidate != nullptr &&
+         *Candidate->m_ReceivedPosition >= *Group.m_LastPosition;
+}
+
 size_t PromotionController::requiredAnswers(const Group &Group,
                                             const DatabaseName &Name) const {
-  // The position of a demoted primary tells what was acknowledged.
-  uint32_t SyncReplicas = Group.m_Leaving ? 0 : syncReplicasOf(Name);
+  uint32_t SyncReplicas = syncReplicasOf(Name);
   size_t Replicas = Group.m_Candidates.size();
-  if (SyncReplicas == 0)
+  // Before the demotion of a primary nothing is decided by the positions.
+  bool IsBeforeDemotion = Group.m_Leaving && !Group.m_LastPosition;
+  if (SyncReplicas == 0 || IsBeforeDemotion)
     return 1;
   // An acknowledged commit is on at least SyncReplicas of the replicas, and
   // therefore on at least one of any Replicas - SyncReplicas + 1 of them.
   return Replicas >= SyncReplicas ? Replicas - SyncReplicas + 1 : Replicas;
 }
 
+void PromotionController::postpone(Group &Group, const DatabaseName &Name,
+                                   const std::string &Reason,
+                                   ControlContext &Context) {
+  Context.reportStateChange("database " + Name.m_Value +
+                            ": failover postponed: " + Reason);
+  ++m_Abandoned;
+  endAttempt(Group, kRetryDelay, Context.m_Now);
+}
+
 void PromotionController::chooseCandidate(Group &Group,
                                           const DatabaseName &Name,
+                                          const Members &Members,
                                           ControlContext &Context) {
   size_t Answered = 0;
   bool HasPendingCalls = false;
+  bool IsSealing = Group.m_SealTerm > 0;
   Position Highest;
   for (const auto &[Member, Candidate] : Group.m_Candidates) {
     HasPendingCalls = HasPendingCalls || Candidate.m_IsPending;
-    Group.m_HighestTerm = std::max(Group.m_HighestTerm, Candidate.m_Term);
     if (!Candidate.m_ReceivedPosition)
       continue;
-    ++Answered;
+    Answered += !IsSealing || Candidate.m_IsSealed ? 1 : 0;
     Highest = std::max(Highest, *Candidate.m_ReceivedPosition);
   }
   bool IsTimedOut =
       Context.m_Now - Group.m_StepStartedAt >= kPositionCollectionTime;
   if (HasPendingCalls && !IsTimedOut)
     return;
-  bool IsSynchronous = syncReplicasOf(Name) > 0 && !Group.m_Leaving;
-  if (IsSynchronous && !Group.m_IsSealing && Group.m_HighestTerm > 0) {
+  bool HasNewReplicas = addReplicas(Group, Name, Members);
+  bool MustSealAgain = needsSeal(Group, Name) && Group.m_HighestTerm > 0 &&
+                       (!IsSealing || HasNewReplicas);
+  if (MustSealAgain) {
+    if (Group.m_SealPasses >= kMaxSealPasses)
+      return postpone(Group, Name, "the replicas could not be sealed", Context);
     enterStep(Group, Step::ReadPositions, Context.m_Now);
     return readPositions(Group, Name, Context);
   }
   const Candidate *Best = mostAdvanced(Group);
-  size_t Required = requiredAnswers(Group, Name);
+  size_t Required =
+      hasAllCommits(Group, Best) ? 1 : requiredAnswers(Group, Name);
   // A replica that may not be promoted can be the only one that holds an
-  // acknowledged commit; the others receive it when its zone is restored.
-  bool LacksCommits =
-      IsSynchronous && Best != nullptr && *Best->m_ReceivedPosition < Highest;
-  if (Answered < Required || Best == nullptr || LacksCommits) {
-    Context.reportStateChange(
-        "database " + Name.m_Value +
-        ": failover postponed: " + std::to_string(Answered) + " of " +
-        std::to_string(Group.m_Candidates.size()) +
-        " replicas reported a position, " + std::to_string(Required) +
-        " required" +
-        (Best == nullptr ? "; none of them may be promoted"
-         : LacksCommits
-             ? "; only a replica in an evacuated zone holds all commits"
-             : ""));
-    ++m_Abandoned;
-    return endAttempt(Group, kRetryDelay, Context.m_Now);
-  }
+  // acknowledged commit.
+  bool IsBeforeDemotion = Group.m_Leaving && !Group.m_LastPosition;
+  bool LacksCommits = syncReplicasOf(Name) > 0 && !IsBeforeDemotion &&
+                      Best != nullptr && !hasAllCommits(Group, Best) &&
+                      *Best->m_ReceivedPosition < Highest;
+  if (Answered < Required || Best == nullptr || LacksCommits)
+    return postpone(Group, Name,
+                    std::to_string(Answered) + " of " +
+                        std::to_string(Group.m_Candidates.size()) +
+                        " replicas reported a position" +
+                        (IsSealing ? " under a seal" : "") + ", " +
+                        std::to_string(Required) + " required" +
+                        (Best == nullptr ? "; none of them may be promoted"
+                         : LacksCommits
+                             ? "; only a replica that drains or is in an "
+                               "evacuated zone holds all commits"
+                             : ""),
+                    Context);
   if (Group.m_Leaving && !Group.m_LastPosition)
     return demote(Group, Name, Context);
   Group.m_Chosen = Best->m_Instance.m_Name;
@@ -379,6 +480,44 @@
   promote(Group, Name, Context);
 }
 
+void PromotionController::sealLateReplicas(Group &Group,
+                                           const DatabaseName &Name,
+                                           const Members &Members,
+                                           ControlContext &Context) {
+  if (Group.m_SealTerm == 0 || !addReplicas(Group, Name, Members))
+    return;
+  for (auto &[Member, Candidate] : Group.m_Candidates) {
+    if (Group.m_SealedPositions.contains(Member) || Member == Group.m_Chosen)
+      continue;
+    Context.reportStateChange("database " + Name.m_Value + ": replica " +
+                              Member.m_Value +
+                              " started during the failover and is sealed");
+    Group.m_SealedPositions[Member] = Position();
+    sealReplica(Group, Name, Candidate, Context);
+  }
+}
+
+void PromotionController::resumeReplicas(Group &Group, const DatabaseName &Name,
+                                         const Members &Members,
+                                         ControlContext &Context) {
+  if (Group.m_Sealed.empty() || Context.m_Now < Group.m_ResumeAt ||
+      Context.m_Now - Group.m_ResumeSentAt < kResumeInterval)
+    return;
+  Group.m_ResumeSentAt = Context.m_Now;
+  // An instance that is gone or has restarted holds no seal.
+  std::erase_if(Group.m_Sealed, [&](const auto &Entry) {
+    return std::none_of(
+        Members.begin(), Members.end(), [&](const InstanceDescription *Member) {
+          return Member->m_Name == Entry.first &&
+                 Member->m_StartedAtMs == Entry.second.m_StartedAtMs;
+        });
+  });
+  CallGroup Action;
+  Action.m_TimeoutMs = kPositionCallTimeoutMs;
+  for (const auto &[Member, Instance] : Group.m_Sealed)
+    sendCall(Name, GroupCallKind::ResumeReplica, Instance, Action, Context);
+}
+
 void PromotionController::demote(Group &Group, const DatabaseName &Name,
                                  ControlContext &Context) {
   CallGroup Action;
@@ -386,6 +525,7 @@
   Action.m_SealTerm = Group.m_HighestTerm + kSealTermIncrement;
   enterStep(Group, Step::Demote, Context.m_Now);
   ++Group.m_DemotionCalls;
+  ++Group.m_Pass;
   sendCall(Name, GroupCallKind::DemotePrimary, *Group.m_Leaving, Action,
            Context);
 }
@@ -395,14 +535,19 @@
                                     ControlContext &Context) {
   std::string Primary = "database " + Name.m_Value + ": primary " +
                         Group.m_Leaving->m_Name.m_Value;
-  if (Event.m_Outcome == GroupCallOutcome::Done) {
+  Group.m_HighestTerm = std::max(Group.m_HighestTerm, Event.m_Term);
+  // An instance whose term is not below that of the order stays primary.
+  bool HasRefused =
+      Event.m_Outcome == GroupCallOutcome::Refused ||
+      (Event.m_Outcome == GroupCallOutcome::Done && Event.m_IsPrimary);
+  if (Event.m_Outcome == GroupCallOutcome::Done && !HasRefused) {
     Context.reportStateChange(Primary + " is demoted at position " +
                               std::to_string(Event.m_Received.m_Term) + "." +
                               std::to_string(Event.m_Received.m_Index));
     Group.m_LastPosition = Event.m_Received;
+    Group.m_Demoted = Group.m_Leaving;
     enterStep(Group, Step::CatchUp, Context.m_Now);
-  } else if (Event.m_Outcome == GroupCallOutcome::Refused &&
-             Group.m_DemotionCalls < kMaxDemotionCalls) {
+  } else if (HasRefused && Group.m_DemotionCalls < kMaxDemotionCalls) {
     // The positions are read once more before the next call.
     enterStep(Group, Step::ReadPositions, Context.m_Now);
   } else {
@@ -417,21 +562,22 @@
 }
 
 void PromotionController::awaitCatchUp(Group &Group, const DatabaseName &Name,
+                                       const Members &Members,
                                        ControlContext &Context) {
   const Candidate *Best = mostAdvanced(Group);
-  bool HasCaughtUp =
-      Best != nullptr && *Best->m_ReceivedPosition >= *Group.m_LastPosition;
+  bool HasCaughtUp = hasAllCommits(Group, Best);
   bool IsTimedOut = Context.m_Now - Group.m_StepStartedAt >= kCatchUpLimit;
   if (HasCaughtUp || IsTimedOut) {
     if (!HasCaughtUp)
       Context.reportStateChange(
           "database " + Name.m_Value +
           ": no replica has received the last commits of the demoted primary "
-          "in time; they are lost");
+          "in time" +
+          std::string(syncReplicasOf(Name) > 0 ? "" : "; they are lost"));
     // The positions are at hand, so the choice follows at once.
     for (auto &[Member, Candidate] : Group.m_Candidates)
       Candidate.m_IsPending = false;
-    return chooseCandidate(Group, Name, Context);
+    return chooseCandidate(Group, Name, Members, Context);
   }
   if (Context.m_Now - Group.m_PositionsReadAt < kCatchUpInterval)
     return;
@@ -442,6 +588,7 @@
       Context.m_Now - Group.m_PositionsReadAt < kPositionCollectionTime)
     return;
   Group.m_PositionsReadAt = Context.m_Now;
+  addReplicas(Group, Name, Members);
   readPositions(Group, Name, Context);
 }
 
@@ -450,6 +597,7 @@
   const Candidate &Chosen = Group.m_Candidates.at(*Group.m_Chosen);
   CallGroup Action;
   Action.m_TimeoutMs = kPromoteCallTimeoutMs;
+  Group.m_OrderPendingUntil = Context.m_Now + kLateOrderTime;
   Action.m_FencingToken = m_Board.m_Term * kFencingTokensPerTerm + ++m_Attempts;
   Context.reportStateChange(
       "promoting instance " + Chosen.m_Instance.m_Name.m_Value +
@@ -477,6 +625,10 @@
       Group.m_Chosen->m_Value + " after " +
       std::to_string((Context.m_Now - Group.m_StartedAt) / milliseconds(1)) +
       " ms");
+  if (IsPrimary) {
+    Group.m_OrderPendingUntil = Time();
+    Group.m_Demoted.reset();
+  }
   m_Completed += IsPrimary ? 1 : 0;
   m_Abandoned += IsPrimary ? 0 : 1;
   endAttempt(Group, IsPrimary ? kCooldown : kRetryDelay, Context.m_Now);
@@ -495,8 +647,14 @@
   Group &Group = Entry->second;
   if (Group.m_PrimaryCheck.m_Call == Event.m_Call)
     return onPrimaryChecked(Group, Event, Context.m_Now);
+  if (Answered.m_Kind == GroupCallKind::ResumeReplica) {
+    if (Event.m_Outcome == GroupCallOutcome::Done &&
+        Group.m_Step == Step::Monitor)
+      m_ResumedCount += Group.m_Sealed.erase(Answered.m_Instance);
+    return;
+  }
   if (Answered.m_Kind == GroupCallKind::DemotePrimary) {
-    if (Group.m_Step == Step::Demote)
+    if (Group.m_Step == Step::Demote && Answered.m_Pass == Group.m_Pass)
       onDemoted(Group, Answered.m_Database, Event, Context);
     return;
   }
@@ -510,7 +668,8 @@
     if (Event.m_Outcome != GroupCallOutcome::Done)
       return;
     Queried->second.m_ReceivedPosition = Event.m_Received;
-    Queried->second.m_Term = Event.m_Term;
+    Queried->second.m_IsSealed = Answered.m_Kind == GroupCallKind::SealReplica;
+    Group.m_HighestTerm = std::max(Group.m_HighestTerm, Event.m_Term);
     return;
   }
   if (Group.m_Step != Step::Promote || Group.m_Chosen != Answered.m_Instance)
@@ -518,8 +677,11 @@
   if (Event.m_Outcome == GroupCallOutcome::Done)
     return enterStep(Group, Step::AwaitRole, Context.m_Now);
   bool IsRefused = Event.m_Outcome == GroupCallOutcome::Refused;
-  if (IsRefused)
+  if (IsRefused) {
+    // The platform has seen this token, so no earlier order takes effect.
+    Group.m_OrderPendingUntil = Time();
     Group.m_ExcludedUntil[Answered.m_Instance] = Context.m_Now + kCooldown;
+  }
   Context.reportStateChange("promotion of instance " +
                             Answered.m_Instance.m_Value +
                             (IsRefused ? " was refused" : " was not answered"));
@@ -535,7 +697,13 @@
            static_cast<double>(m_Completed)},
           {"almondpier_promotions_abandoned_total",
            "Attempts that were put off, refused or not confirmed.",
-           static_cast<double>(m_Abandoned)}};
+           static_cast<double>(m_Abandoned)},
+          {"almondpier_replica_seals_total",
+           "Requests to replicas to stop receiving during a change of primary.",
+           static_cast<double>(m_SealedCount)},
+          {"almondpier_replicas_resumed_total",
+           "Replicas that receive again after a seal.",
+           static_cast<double>(m_ResumedCount)}};
 }
 
 } // namespace almondpier
--- a/tests/platform/InstanceGatewayTest.cpp
+++ b/tests/platform/InstanceGatewayTest.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+
 using namespace almondpier;
 using namespace almondpier::platform;
 
@@ -79,3 +81,60 @@
     CHECK(Answers[0].m_IsPrimary);
   }
 }
+
+// The stream of the first call was destroyed inside its own callback when its
+// answer led to the next call; the sanitized build shows it.
+TEST_CASE("instance gateway: the answer to a call may lead to the next one") {
+  EventLoop Loop;
+  Endpoint Local = freeEndpoint();
+  std::vector<std::unique_ptr<LineStream>> Streams;
+  std::vector<std::string> Received;
+  LineListener Instance(
+      Loop, Local, LineStream::Limits(),
+      [&](std::unique_ptr<LineStream> Accepted) {
+        LineStream *Raw = Accepted.get();
+        Streams.push_back(std::move(Accepted));
+        Raw->setCallbacks({{},
+                           [&, Raw](std::string_view Line) {
+                             if (!Line.starts_with("QUERY"))
+                               return Raw->write("READY I -\r\n");
+                             Received.emplace_back(Line);
+                             Raw->write(
+                                 "ROW replica 3 3.9 4 0 0 1\r\nCOMPLETE -\r\n"
+                                 "READY I 3.9\r\n");
+                           },
+                           {}});
+      });
+  InstanceGateway Gateway(Loop, "c0", std::nullopt);
+  CallGroup Call;
+  Call.m_Instance.m_Name = InstanceName{"i-1"};
+  Call.m_Instance.m_Database = DatabaseName{"races"};
+  Call.m_Instance.m_StatementEndpoint = Local;
+  Call.m_SealTerm = 4;
+  Call.m_TimeoutMs = 2'000;
+  std::vector<GroupCallAnswered> Answers;
+  std::vector<GroupCallKind> Left{GroupCallKind::ResumeReplica,
+                                  GroupCallKind::SealReplica,
+                                  GroupCallKind::DemotePrimary};
+  std::function<void()> CallNext = [&] {
+    if (Left.empty())
+      return Loop.stop();
+    Call.m_Call = GroupCallId{Call.m_Call.m_Value + 1};
+    Call.m_Kind = Left.back();
+    Left.pop_back();
+    Gateway.call(Call, [&](const GroupCallAnswered &Answer) {
+      Answers.push_back(Answer);
+      CallNext();
+    });
+  };
+  CallNext();
+  Loop.run();
+  CHECK(Received == std::vector<std::string>{"QUERY - DEMOTE 4",
+                                             "QUERY - PAUSE 4",
+                                             "QUERY - RESUME"});
+  REQUIRE(Answers.size() == 3);
+  for (const GroupCallAnswered &Answer : Answers) {
+    CHECK(Answer.m_Outcome == GroupCallOutcome::Done);
+    CHECK(Answer.m_HeldTerm == 4);
+  }
+}
