Let the term of a seal belong to one attempt, and check the seal

Cause: the highest term was kept from one attempt to the next, so that the second attempt sealed at once with a term that the group had reached. Instances ignore such a PAUSE, and its answer counted as that of a sealed replica.

Failed try: with the confirming pass in place the test passes without the reset, because that pass learns the term; the reset and the check of the seal stay, since the pass alone would depend on positions that differ.

Change: terms, seals and answers belong to one attempt and one pass. A seal counts if the answer has a lower term or shows the seal held; otherwise its term is the next to seal above. Two passes in a row over the same replicas have to find the same positions; the second one also sends the demotion to a primary that was not reached. An answer to an earlier pass, such as a late one to STATUS, does not count.

--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -75,6 +75,7 @@
   Group.m_Leaving.reset();
   Group.m_LastPosition.reset();
   Group.m_DemotionCalls = 0;
+  Group.m_HighestTerm = 0;
   Group.m_SealTerm = 0;
   Group.m_SealPasses = 0;
   Group.m_SealedPositions.clear();
@@ -379,6 +380,15 @@
     sendCall(Name, GroupCallKind::ReadPosition, Candidate.m_Instance, Action,
              Context);
   }
+  // Sealed replicas are enough; a primary that can be reached after all is
+  // demoted as well, in case an unknown replica receives from it.
+  if (!Group.m_SealedPositions.empty() && Group.m_Primary) {
+    CallGroup Action;
+    Action.m_TimeoutMs = kPositionCallTimeoutMs;
+    Action.m_SealTerm = Group.m_SealTerm;
+    sendCall(Name, GroupCallKind::DemotePrimary, *Group.m_Primary, Action,
+             Context);
+  }
 }
 
 const PromotionController::Candidate *
@@ -414,6 +424,18 @@
   return Replicas >= SyncReplicas ? Replicas - SyncReplicas + 1 : Replicas;
 }
 
+bool PromotionController::isSealConfirmed(Group &Group) {
+  std::map<InstanceName, Position> Positions;
+  for (const auto &[Member, Candidate] : Group.m_Candidates)
+    if (Candidate.m_IsSealed)
+      Positions[Member] = *Candidate.m_ReceivedPosition;
+  // Unchanged positions of the same replicas show that nothing has undone the
+  // seal since, neither a late call nor a restart.
+  bool IsUnchanged = Positions == Group.m_SealedPositions;
+  Group.m_SealedPositions = std::move(Positions);
+  return IsUnchanged;
+}
+
 void PromotionController::postpone(Group &Group, const DatabaseName &Name,
                                    const std::string &Reason,
                                    ControlContext &Context) {
@@ -443,8 +465,10 @@
   if (HasPendingCalls && !IsTimedOut)
     return;
   bool HasNewReplicas = addReplicas(Group, Name, Members);
-  bool MustSealAgain = needsSeal(Group, Name) && Group.m_HighestTerm > 0 &&
-                       (!IsSealing || HasNewReplicas);
+  bool IsSealTooLow = IsSealing && Group.m_HighestTerm >= Group.m_SealTerm;
+  bool MustSealAgain =
+      needsSeal(Group, Name) && Group.m_HighestTerm > 0 &&
+      (!IsSealing || HasNewReplicas || IsSealTooLow || !isSealConfirmed(Group));
   if (MustSealAgain) {
     if (Group.m_SealPasses >= kMaxSealPasses)
       return postpone(Group, Name, "the replicas could not be sealed", Context);
@@ -662,14 +686,21 @@
     auto Queried = Group.m_Candidates.find(Answered.m_Instance);
     bool IsCollecting =
         Group.m_Step == Step::ReadPositions || Group.m_Step == Step::CatchUp;
-    if (!IsCollecting || Queried == Group.m_Candidates.end())
+    // An answer to an earlier pass says nothing about the seal of this one.
+    if (!IsCollecting || Queried == Group.m_Candidates.end() ||
+        Answered.m_Pass != Group.m_Pass)
       return;
     Queried->second.m_IsPending = false;
     if (Event.m_Outcome != GroupCallOutcome::Done)
       return;
     Queried->second.m_ReceivedPosition = Event.m_Received;
-    Queried->second.m_IsSealed = Answered.m_Kind == GroupCallKind::SealReplica;
-    Group.m_HighestTerm = std::max(Group.m_HighestTerm, Event.m_Term);
+    // A seal has no effect at a term that the instance has reached.
+    Queried->second.m_IsSealed =
+        Answered.m_Kind == GroupCallKind::SealReplica &&
+        (Event.m_Term < Group.m_SealTerm ||
+         Event.m_HeldTerm >= Group.m_SealTerm);
+    if (!Queried->second.m_IsSealed)
+      Group.m_HighestTerm = std::max(Group.m_HighestTerm, Event.m_Term);
     return;
   }
   if (Group.m_Step != Step::Promote || Group.m_Chosen != Answered.m_Instance)
--- a/src/decision/control/PromotionController.h
+++ b/src/decision/control/PromotionController.h
@@ -152,6 +152,9 @@
   /// whether there were any.
   bool addReplicas(Group &Group, const DatabaseName &Name,
                    const Members &Members);
+  /// Decides what follows a pass that sealed the replicas. Returns whether the
+  /// positions are final: two passes in a row found them unchanged.
+  bool isSealConfirmed(Group &Group);
   /// Seals replicas that appear while the promotion is on its way.
   void sealLateReplicas(Group &Group, const DatabaseName &Name,
                         const Members &Members, ControlContext &Context);
--- a/tests/control/SealTest.cpp
+++ b/tests/control/SealTest.cpp
@@ -277,6 +277,47 @@
   }
 }
 
+// LOST: the term to seal at was kept from the change before, so that the seal
+// of the second one had no effect and was counted.
+TEST_CASE("promotion: each change of primary under one leader learns the term "
+          "anew") {
+  enum class Reason : uint8_t { Draining, DrainingAndDark, Unreachable };
+  for (Reason Why :
+       {Reason::Draining, Reason::DrainingAndDark, Reason::Unreachable}) {
+    CAPTURE(static_cast<int>(Why));
+    SynchronousGroup Group;
+    std::string Old = "a";
+    for (size_t Change = 1; Change <= 3; ++Change) {
+      CAPTURE(Change);
+      Group.start(std::string(1, static_cast<char>('c' + Change)));
+      Group.run(milliseconds(500));
+      Group.m_Members.at(Old).m_IsDark = Why != Reason::Draining;
+      if (Why == Reason::Unreachable)
+        Group.reportUnreachable(Old);
+      else
+        Group.drain(Old);
+      // The chosen replica receives nothing from the order on.
+      Group.m_OnCall = [&](const CallGroup &Call) {
+        if (Call.m_Kind == GroupCallKind::Promote)
+          Group.m_Members.at(Call.m_Instance.m_Name.m_Value).m_IsDeaf = true;
+      };
+      REQUIRE(Group.runUntil([&] { return Group.m_Promotions == Change; },
+                             std::chrono::seconds(6)));
+      Group.m_OnCall = nullptr;
+      CHECK(Group.m_Lost == 0);
+      Group.clearReports();
+      for (auto &[Name, Member] : Group.m_Members)
+        Member.m_IsDeaf = false;
+      Group.run(std::chrono::seconds(3));
+      Group.leave(Old);
+      Old = Group.primary();
+      REQUIRE(!Old.empty());
+      Group.run(std::chrono::seconds(2));
+      CHECK(Group.isServing());
+    }
+  }
+}
+
 // LOST: a draining replica still counts for the primary, but was neither sealed
 // nor read.
 TEST_CASE("promotion: a draining replica that alone holds acknowledged commits "
@@ -301,6 +342,29 @@
   }
 }
 
+// A late answer to a STATUS was taken for that to the PAUSE of the next pass.
+TEST_CASE(
+    "promotion: an answer to an earlier request does not count as that of "
+    "a seal") {
+  SynchronousGroup Group;
+  Group.m_Members.at("a").m_IsDark = true;
+  // Answers arrive after the time for which they are collected.
+  Group.m_Members.at("c").m_AnswerDelay = milliseconds(300);
+  bool IsCSealed = true;
+  Group.m_OnCall = [&](const CallGroup &Call) {
+    if (Call.m_Kind == GroupCallKind::Promote)
+      IsCSealed = Group.m_Members.at("c").m_HeldTerm > 0;
+    // The request to seal is lost.
+    if (Call.m_Kind == GroupCallKind::SealReplica &&
+        Call.m_Instance.m_Name.m_Value == "c")
+      Group.m_Members.at("c").m_IsDark = true;
+  };
+  Group.drain("a");
+  Group.run(std::chrono::seconds(3));
+  CHECK((Group.countCalls(GroupCallKind::Promote) == 0 || IsCSealed));
+  CHECK(Group.m_Lost == 0);
+}
+
 // Replicas that stay sealed would let no commit be acknowledged any more.
 TEST_CASE("promotion: sealed replicas receive again after an attempt that ends "
           "without a promotion") {
