Let a leave count for the boot that it names

Without a start time it counts as before.

Evidence: "directory: a late leave of an earlier boot does not hide the running one" fails on the code before.

--- a/src/decision/control/DirectoryController.cpp
+++ b/src/decision/control/DirectoryController.cpp
@@ -35,9 +35,11 @@
   if (Known == m_Boots.end())
     return false;
   const Boot &Last = Known->second;
-  if (CheckIn.m_IsLeaving)
-    return Last.m_HasLeft;
   uint64_t StartedAtMs = CheckIn.m_Instance.m_StartedAtMs;
+  // Without a start time a leave is taken to be that of the last boot.
+  if (CheckIn.m_IsLeaving)
+    return Last.m_HasLeft ||
+           (StartedAtMs != 0 && StartedAtMs < Last.m_StartedAtMs);
   if (StartedAtMs != Last.m_StartedAtMs)
     return StartedAtMs < Last.m_StartedAtMs;
   return Last.m_HasLeft || CheckIn.m_Sequence <= Last.m_Sequence;
--- a/tests/control/SealTest.cpp
+++ b/tests/control/SealTest.cpp
@@ -342,6 +342,27 @@
   }
 }
 
+// LOST: a leave of an earlier boot hid the running one, which went on
+// acknowledging.
+TEST_CASE(
+    "directory: a late leave of an earlier boot does not hide the running "
+    "one") {
+  SynchronousGroup Group;
+  uint64_t Earlier = Group.m_Members.at("c").m_StartedAtMs;
+  Group.leave("c");
+  Group.run(milliseconds(500));
+  Group.start("c");
+  Group.run(milliseconds(500));
+  Group.sendLeave("c", Earlier);
+  Group.run(milliseconds(500));
+  const std::vector<InstanceDescription> &Known =
+      Group.m_Sim.board(*Group.m_Sim.leader()).m_Directory.m_Instances;
+  CHECK(std::any_of(Known.begin(), Known.end(),
+                    [](const InstanceDescription &Instance) {
+                      return Instance.m_Name.m_Value == "c";
+                    }));
+}
+
 // A late answer to a STATUS was taken for that to the PAUSE of the next pass.
 TEST_CASE(
     "promotion: an answer to an earlier request does not count as that of "
--- a/tests/platform/JsonCodecTest.cpp
+++ b/tests/platform/JsonCodecTest.cpp
@@ -250,3 +250,15 @@
                                 "internalPorts=1,2\nlisten.front=nowhere\n"),
                   Error);
 }
+
+// A leave without its start time removed the next boot under the same name.
+TEST_CASE("JSON codec: a leave names the boot that ends") {
+  InstanceCheckIn Leave = decodeLeave("i-1", R"({"born":1767225600123})");
+  CHECK(Leave.m_IsLeaving);
+  CHECK(Leave.m_Instance.m_Name == InstanceName{"i-1"});
+  CHECK(Leave.m_Instance.m_StartedAtMs == 1'767'225'600'123);
+  CHECK(decodeLeave("i-1", "").m_Instance.m_StartedAtMs == 0);
+  CHECK(decodeLeave("i-1", "{}").m_Instance.m_StartedAtMs == 0);
+  for (const char *Invalid : {R"({"born":"x"})", R"({"born":1.5})", "[", "[]"})
+    CHECK_THROWS_AS(decodeLeave("i-1", Invalid), Error);
+}
