Count a demoted primary again when it may be promoted

When its zone was restored meanwhile and no other instance could lead, the group stayed without a primary.

--- a/src/decision/control/PromotionController.cpp
+++ b/src/decision/control/PromotionController.cpp
@@ -326,12 +326,14 @@
   bool HasAdded = false;
   bool IsSynchronous = syncReplicasOf(Name) > 0;
   for (const InstanceDescription *Member : Members) {
-    // A draining replica still receives, and commits are acknowledged through
-    // it.
     bool IsDemoted = Group.m_Demoted &&
                      Group.m_Demoted->m_Name == Member->m_Name &&
                      Group.m_Demoted->m_StartedAtMs == Member->m_StartedAtMs;
-    bool IsCounted = !Member->m_IsPrimary && !IsDemoted &&
+    // What a demoted primary alone holds was not acknowledged, so that it need
+    // not be counted unless it can be promoted itself.
+    bool IsCounted = !Member->m_IsPrimary &&
+                     (!IsDemoted || isUsable(*Member)) &&
+                     // A draining replica still receives.
                      (IsSynchronous || Member->m_State == InstanceState::Ready);
     auto Known = Group.m_Candidates.find(Member->m_Name);
     if (Known != Group.m_Candidates.end())
--- a/tests/control/EvacuationTest.cpp
+++ b/tests/control/EvacuationTest.cpp
@@ -282,6 +282,23 @@
   CHECK(Test.countCalls(GroupCallKind::Promote, "b") == 0);
 }
 
+// Guards against a group without a primary whose only reachable instance is the
+// one that was demoted.
+TEST_CASE("evacuation: a demoted primary is promoted again when its zone is "
+          "restored and no other instance can lead") {
+  Fleet Test;
+  Test.m_OnCall = [&](const CallGroup &Call) {
+    if (Call.m_Kind == GroupCallKind::DemotePrimary)
+      Test.m_Silent = {"b", "c"};
+  };
+  REQUIRE(Test.isAccepted(kZoneOfPrimary, true));
+  REQUIRE(Test.m_Sim.runUntil([&] { return Test.m_Primary.empty(); }));
+  REQUIRE(Test.isAccepted(kZoneOfPrimary, false));
+  for (int Step = 0; Step < 100 && Test.m_Primary != "a"; ++Step)
+    Test.run(milliseconds(100));
+  CHECK(Test.m_Primary == "a");
+}
+
 // Guards against a lossy promotion because an overloaded primary refused one
 // call.
 TEST_CASE("evacuation: a demotion that the primary refuses is repeated") {
